--- /dev/null
+++ b/cmake/module.cmake
@@ -0,0 +1,28 @@
+# Adds the library vt_<name> from the sources of this directory and internal/.
+# Arguments after the name are the targets it depends on.
+function(vt_module name)
+    file(GLOB sources CONFIGURE_DEPENDS *.cpp internal/*.cpp)
+    if(sources)
+        add_library(vt_${name} STATIC ${sources})
+        target_compile_options(vt_${name} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+        target_include_directories(vt_${name} SYSTEM PUBLIC)
+        target_include_directories(vt_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+        target_link_libraries(vt_${name} PUBLIC Threads::Threads ${ARGN})
+    else()
+        add_library(vt_${name} INTERFACE)
+        target_include_directories(vt_${name} INTERFACE ${PROJECT_SOURCE_DIR}/src)
+        target_link_libraries(vt_${name} INTERFACE Threads::Threads ${ARGN})
+    endif()
+    vt_module_tests(${name} vt_${name})
+endfunction()
+
+# Adds the test program vt_<name>_tests from tests/*.cpp and registers it with CTest.
+function(vt_module_tests name)
+    file(GLOB tests CONFIGURE_DEPENDS tests/*.cpp)
+    if(tests)
+        add_executable(vt_${name}_tests ${tests} ${PROJECT_SOURCE_DIR}/src/testing/testmain.cpp)
+        target_compile_options(vt_${name}_tests PRIVATE -Wall -Wextra -Wshadow -Werror)
+        target_link_libraries(vt_${name}_tests PRIVATE ${ARGN} PkgConfig::CPPUTEST)
+        add_test(NAME ${name} COMMAND vt_${name}_tests -c)
+    endif()
+endfunction()
--- /dev/null
+++ b/src/base/clock.cpp
@@ -0,0 +1,38 @@
+#include "base/clock.h"
+
+namespace vanillatack {
+
+namespace {
+
+// Start of ManualClock; far from zero so that code may subtract minutes from it.
+constexpr std::chrono::hours ManualMonotonicStart{1000};
+constexpr std::chrono::seconds ManualWallStart{1'767'225'600}; // 2026-01-01T00:00:00Z
+
+} // namespace
+
+TimePoint SystemClock::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+WallTime SystemClock::wallNow() const
+{
+    return std::chrono::system_clock::now();
+}
+
+TimePoint ManualClock::now() const
+{
+    return TimePoint(ManualMonotonicStart) + m_elapsed;
+}
+
+WallTime ManualClock::wallNow() const
+{
+    return WallTime(ManualWallStart) + std::chrono::duration_cast<WallTime::duration>(m_elapsed);
+}
+
+void ManualClock::advance(Duration step)
+{
+    m_elapsed += step;
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/base/random.cpp
@@ -0,0 +1,56 @@
+#include "base/random.h"
+
+#include <absl/strings/str_cat.h>
+#include <openssl/rand.h>
+
+#include <cstdlib>
+
+namespace vanillatack {
+
+std::uint64_t IRandom::below(std::uint64_t bound)
+{
+    // Values above the largest multiple of bound would favour small results.
+    const std::uint64_t limit = UINT64_MAX - UINT64_MAX % bound;
+    std::uint64_t value = next();
+    while (value >= limit) {
+        value = next();
+    }
+    return value % bound;
+}
+
+double IRandom::fraction()
+{
+    constexpr int DoubleMantissaBits = 53;
+    return static_cast<double>(next() >> (64 - DoubleMantissaBits)) / static_cast<double>(1ULL << DoubleMantissaBits);
+}
+
+std::string IRandom::hexToken(int bits)
+{
+    std::string token;
+    for (int produced = 0; produced < bits; produced += 64) {
+        absl::StrAppend(&token, absl::Hex(next(), absl::kZeroPad16));
+    }
+    return token;
+}
+
+std::uint64_t SystemRandom::next()
+{
+    std::uint64_t value = 0;
+    if (RAND_bytes(reinterpret_cast<unsigned char *>(&value), sizeof(value)) != 1) {
+        // Tokens and keys must never be guessable, so there is no fallback.
+        std::abort();
+    }
+    return value;
+}
+
+SeededRandom::SeededRandom(std::uint64_t seed)
+    : m_engine(seed)
+{
+}
+
+std::uint64_t SeededRandom::next()
+{
+    return m_engine();
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/base/random.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace vanillatack {
+
+/// Source of random numbers, passed in so that tests can fix the seed.
+class IRandom
+{
+public:
+    virtual ~IRandom() = default;
+
+    /// Uniform over all 64-bit values.
+    virtual std::uint64_t next() = 0;
+
+    /// Uniform in [0, bound). Bound must be positive.
+    std::uint64_t below(std::uint64_t bound);
+
+    /// Uniform in [0, 1).
+    double fraction();
+
+    /// Lower-case hexadecimal text of the given number of random bits (a multiple of 64).
+    std::string hexToken(int bits = 128);
+};
+
+/// Cryptographic random numbers of libcrypto. Used by the daemon and the tool.
+class SystemRandom final : public IRandom
+{
+public:
+    std::uint64_t next() override;
+};
+
+/// Reproducible random numbers for tests and benchmarks.
+class SeededRandom final : public IRandom
+{
+public:
+    explicit SeededRandom(std::uint64_t seed);
+
+    std::uint64_t next() override;
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/model/ids.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace vanillatack {
+
+/// A name that cannot be mixed up with names of another kind. Ordered and hashable.
+template<class Tag>
+struct Name {
+    std::string value;
+
+    Name() = default;
+    explicit Name(std::string text)
+        : value(std::move(text))
+    {
+    }
+
+    [[nodiscard]] bool empty() const
+    {
+        return value.empty();
+    }
+
+    auto operator<=>(const Name &) const = default;
+
+    template<class H>
+    friend H AbslHashValue(H state, const Name &name)
+    {
+        return H::combine(std::move(state), name.value);
+    }
+};
+
+using ZoneName = Name<struct ZoneTag>;
+using ServiceName = Name<struct ServiceTag>;
+using WorkspaceName = Name<struct WorkspaceTag>;
+using RouteName = Name<struct RouteTag>;
+
+/// Name of a node, unique in the fleet, from its settings. A replaced VM keeps the name and gets a new incarnation.
+using NodeName = Name<struct NodeTag>;
+
+/// Public identifier of a key; not the key itself. Safe to log.
+using KeyId = Name<struct KeyTag>;
+
+/// A number that cannot be mixed up with numbers of another kind. Zero means none.
+template<class Tag>
+struct NumericId {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const NumericId &) const = default;
+
+    template<class H>
+    friend H AbslHashValue(H state, const NumericId &id)
+    {
+        return H::combine(std::move(state), id.value);
+    }
+};
+
+/// A request while it is handled by one node.
+using RequestId = NumericId<struct RequestTag>;
+/// One outgoing call of a request.
+using CallId = NumericId<struct CallTag>;
+/// A request in an admission queue or running at the upstream.
+using TicketId = NumericId<struct TicketTag>;
+/// A quota loan, unique per lender incarnation.
+using LoanId = NumericId<struct LoanTag>;
+
+/// IPv4 address in dotted form and TCP or UDP port.
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    [[nodiscard]] std::string text() const
+    {
+        return address + ":" + std::to_string(port);
+    }
+
+    auto operator<=>(const Endpoint &) const = default;
+
+    template<class H>
+    friend H AbslHashValue(H state, const Endpoint &endpoint)
+    {
+        return H::combine(std::move(state), endpoint.address, endpoint.port);
+    }
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/model/messages.h
@@ -0,0 +1,235 @@
+#pragma once
+
+#include "model/request.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace vanillatack {
+
+// ---- calls -------------------------------------------------------------------------------------------------------
+
+/// One call from the egress of a node to the ingress of another.
+struct CallRequest {
+    std::uint64_t requestId = 0; ///< Chosen by the sender; the reply repeats it.
+    std::string rootId;
+    WorkspaceName workspace;
+    RouteName rootRoute;
+    RouteName route;
+    ServiceName service;
+    PriorityClass priority = PriorityClass::Interactive;
+    int depth = 0;
+    Duration deadlineLeft{0}; ///< Relative, since the clocks of VMs differ.
+    int allowance = 0; ///< Retries handed down.
+    bool idempotent = false;
+    std::string method;
+    std::string target; ///< Path and query.
+    HeaderList headers;
+    std::string body;
+};
+
+/// The reply to a CallRequest: an answer of the upstream, or a refusal.
+struct CallReply {
+    std::uint64_t requestId = 0;
+    RefusalKind refusal = RefusalKind::None; ///< None when the upstream answered.
+    RunState runState = RunState::Unknown;
+    bool refusedDeeper = false; ///< The cause is at a deeper hop, so a retry here does not help.
+    Duration retryAfter{0};
+    int status = 0; ///< HTTP status of the upstream's answer.
+    HeaderList headers;
+    std::string body;
+    int allowanceReturned = 0;
+    std::vector<ServiceLevel> levels; ///< Of the services on the path, deepest last.
+};
+
+// ---- membership --------------------------------------------------------------------------------------------------
+
+enum class MemberState {
+    Alive,
+    Suspect,
+    Draining,
+    Left,
+    Dead,
+};
+
+inline constexpr auto MemberStateNames = makeNameTable<MemberState, 5>({
+    {MemberState::Alive, "alive"},
+    {MemberState::Suspect, "suspect"},
+    {MemberState::Draining, "draining"},
+    {MemberState::Left, "left"},
+    {MemberState::Dead, "dead"},
+});
+
+/// What the fleet knows of one node and its upstream. A node alone raises its incarnation.
+struct Member {
+    NodeName node;
+    ZoneName zone;
+    Endpoint endpoint; ///< Node port, TCP and UDP.
+    ServiceName service; ///< Empty while no upstream has announced itself.
+    int slots = 0; ///< Concurrent requests as announced.
+    std::uint64_t incarnation = 0; ///< Milliseconds of wall time at start, raised by one for each own change.
+    MemberState state = MemberState::Alive;
+    bool cold = false; ///< The upstream has just started.
+    int shareSlot = -1; ///< Quota share slot, -1 for none.
+
+    bool operator==(const Member &) const = default;
+};
+
+/// Versions of the documents and of the set of withdrawn keys, carried by every probe.
+struct StateVersions {
+    std::uint64_t configVersion = 0;
+    std::uint64_t keysVersion = 0;
+    std::uint64_t withdrawalCount = 0;
+    std::uint64_t withdrawalHash = 0; ///< XOR of the hashes of all withdrawn key ids.
+
+    bool operator==(const StateVersions &) const = default;
+};
+
+struct Ping {
+    std::uint64_t sequence = 0;
+    Member self;
+    std::vector<Member> updates;
+    std::uint64_t memberHash = 0; ///< Hash over the sender's member table of its zone.
+    StateVersions versions;
+};
+
+/// Asks the receiver to probe the target and to forward its acknowledgement.
+struct PingIndirect {
+    std::uint64_t sequence = 0;
+    Member self;
+    NodeName target;
+    Endpoint targetEndpoint;
+};
+
+struct Ack {
+    std::uint64_t sequence = 0;
+    Member self;
+    std::vector<Member> updates;
+    std::uint64_t memberHash = 0;
+    StateVersions versions;
+};
+
+/// The whole member table of a zone, sent when hashes differ. The receiver answers once when asked to.
+struct MemberSync {
+    NodeName sender;
+    bool replyWanted = false;
+    std::vector<Member> members;
+};
+
+/// Summary of one service in a zone for other zones.
+struct ServiceSummary {
+    ServiceName service;
+    int healthyInstances = 0;
+    std::vector<Member> contacts; ///< Up to 3 instances, for spill-over.
+
+    bool operator==(const ServiceSummary &) const = default;
+};
+
+/// Summary of a zone, exchanged by relays of zones and spread inside the zone. Higher versions replace lower ones.
+struct ZoneDigest {
+    NodeName sender;
+    ZoneName zone;
+    std::uint64_t version = 0; ///< Milliseconds of wall time at creation, strictly growing per zone.
+    std::vector<ServiceSummary> services;
+    std::vector<Member> relays;
+    std::vector<Member> shareOwners; ///< Nodes that hold quota share slots.
+    StateVersions versions; ///< Lowest versions in force at the zone's reachable nodes.
+    int nodes = 0; ///< Nodes alive in the zone.
+    bool replyWanted = false;
+};
+
+// ---- documents ---------------------------------------------------------------------------------------------------
+
+enum class DocumentKind {
+    Configuration,
+    Keys,
+};
+
+inline constexpr auto DocumentKindNames = makeNameTable<DocumentKind, 2>({
+    {DocumentKind::Configuration, "config"},
+    {DocumentKind::Keys, "keys"},
+});
+
+struct DocumentFetch {
+    NodeName sender;
+    DocumentKind kind = DocumentKind::Configuration;
+    std::uint64_t aboveVersion = 0;
+};
+
+struct DocumentPush {
+    NodeName sender;
+    DocumentKind kind = DocumentKind::Configuration;
+    std::uint64_t version = 0;
+    std::string digest; ///< SHA-256 of the content, hexadecimal.
+    std::string content;
+};
+
+/// Withdrawn keys with the wall time of the withdrawal in milliseconds.
+struct WithdrawnKey {
+    KeyId key;
+    std::int64_t withdrawnAtMs = 0;
+
+    bool operator==(const WithdrawnKey &) const = default;
+};
+
+struct WithdrawalSync {
+    NodeName sender;
+    bool replyWanted = false;
+    std::vector<WithdrawnKey> keys;
+};
+
+// ---- quota -------------------------------------------------------------------------------------------------------
+
+/// Amounts are millionths of a request, rates millionths of a request per second.
+struct BorrowRequest {
+    NodeName sender;
+    Endpoint replyTo;
+    std::uint64_t sequence = 0; ///< Chosen by the borrower; a grant is used at most once per sequence.
+    WorkspaceName workspace;
+    std::int64_t rate = 0; ///< Wanted rate.
+    std::int64_t burst = 0; ///< Wanted bucket capacity.
+    std::int64_t tokens = 0; ///< Wanted tokens now.
+};
+
+struct BorrowGrant {
+    NodeName sender;
+    std::uint64_t sequence = 0;
+    LoanId loan;
+    WorkspaceName workspace;
+    std::int64_t rate = 0;
+    std::int64_t burst = 0;
+    std::int64_t tokens = 0;
+    Duration term{0}; ///< The borrower counts it from before its request was sent.
+};
+
+struct LoanReturn {
+    NodeName sender;
+    LoanId loan;
+    std::uint64_t lenderIncarnation = 0;
+};
+
+using ControlMessage = std::variant<Ping,
+                                    PingIndirect,
+                                    Ack,
+                                    MemberSync,
+                                    ZoneDigest,
+                                    DocumentFetch,
+                                    DocumentPush,
+                                    WithdrawalSync,
+                                    BorrowRequest,
+                                    BorrowGrant,
+                                    LoanReturn>;
+
+/// Sends control messages to other nodes. Messages can be lost, late, duplicated or out of order.
+class IMessageSender
+{
+public:
+    virtual ~IMessageSender() = default;
+
+    /// Returns at once; delivery is not guaranteed.
+    virtual void send(const Endpoint &to, const ControlMessage &message) = 0;
+};
+
+} // namespace vanillatack
