Add membership by gossip and zone digests

Cause: nodes have to know the instances of their zone and contacts of other zones without a registry. Before: interface only. Conclusion: traffic and CPU are still to be measured.

--- /dev/null
+++ b/src/membership/internal/membershipviews.cpp
@@ -0,0 +1,175 @@
+// What membership tells others: instance lists, zones, share owners, targets.
+#include "base/log.h"
+#include "membership/internal/membership.h"
+#include "membership/internal/membertransition.h"
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+constexpr Log MembershipLog("membership");
+
+} // namespace
+
+void Membership::flushServices()
+{
+    std::set<ServiceName> services = m_state.table.takeChangedServices();
+    services.merge(m_state.changedServices);
+    m_state.changedServices.clear();
+    for (const ServiceName &service : services) {
+        if (service.empty()) {
+            continue;
+        }
+        std::vector<Member> instances = instancesOf(service);
+        std::vector<Member> &reported = m_reported[service];
+        if (reported == instances) {
+            continue;
+        }
+        reported = std::move(instances);
+        m_listener.onServiceChanged(service, reported);
+        if (reported.empty()) {
+            m_reported.erase(service);
+        }
+    }
+    if (m_checkedSlotsAt != m_state.table.generation()) {
+        m_checkedSlotsAt = m_state.table.generation();
+        warnOfDuplicateSlots();
+    }
+}
+
+std::vector<Member> Membership::instancesOf(const ServiceName &service) const
+{
+    std::vector<Member> instances;
+    for (const auto &[node, record] : m_state.table.records()) {
+        if (record.member.service == service && isLive(record.member.state)) {
+            instances.push_back(record.member);
+        }
+    }
+    for (const auto &[zone, record] : m_state.zones.records()) {
+        const auto found = record.content.services.find(service);
+        if (record.contactsListed && found != record.content.services.end()) {
+            instances.insert(instances.end(), found->second.contacts.begin(), found->second.contacts.end());
+        }
+    }
+    return instances;
+}
+
+const Member &Membership::self() const
+{
+    return m_state.self;
+}
+
+std::vector<Member> Membership::members() const
+{
+    std::vector<Member> members;
+    for (const NodeName &node : m_state.table.live()) {
+        members.push_back(m_state.table.find(node)->member);
+    }
+    return members;
+}
+
+std::vector<ZoneStatus> Membership::zones() const
+{
+    ZoneStatus own{m_state.self.zone, static_cast<int>(m_state.table.live().size()), m_state.versions, true, {}};
+    if (const ZoneRecord *record = m_state.zones.find(m_state.self.zone); record && record->heartbeat > 0) {
+        own.versions = record->versions;
+    }
+    std::vector<ZoneStatus> zones{own};
+    for (const auto &[zone, record] : m_state.zones.records()) {
+        if (zone == own.zone) {
+            continue;
+        }
+        ZoneStatus status{zone, record.nodes, record.versions, false, Duration::max()};
+        if (record.heardAt) {
+            status.lastHeard = m_state.clock.now() - *record.heardAt;
+            status.reachable = status.lastHeard <= m_state.settings.zoneReachable;
+        }
+        zones.push_back(status);
+    }
+    return zones;
+}
+
+std::vector<Member> Membership::shareOwners() const
+{
+    std::vector<Member> owners;
+    for (const NodeName &node : m_state.table.live()) {
+        const Member &member = m_state.table.find(node)->member;
+        if (member.shareSlot >= 0) {
+            owners.push_back(member);
+        }
+    }
+    for (const auto &[zone, record] : m_state.zones.records()) {
+        if (record.contactsListed) {
+            owners.insert(owners.end(), record.content.shareOwners.begin(), record.content.shareOwners.end());
+        }
+    }
+    // Entries of a zone are in the order of node names, so the first of several duplicates has the lowest.
+    std::set<std::pair<ZoneName, int>> taken;
+    std::erase_if(owners, [&](const Member &owner) {
+        return !taken.insert({owner.zone, owner.shareSlot}).second;
+    });
+    return owners;
+}
+
+void Membership::warnOfDuplicateSlots()
+{
+    std::map<int, const Member *> holders;
+    std::set<int> duplicates;
+    for (const NodeName &node : m_state.table.live()) {
+        const Member &member = m_state.table.find(node)->member;
+        if (member.shareSlot < 0) {
+            continue;
+        }
+        const auto [holder, added] = holders.try_emplace(member.shareSlot, &member);
+        if (!added && duplicates.insert(member.shareSlot).second && !m_duplicateSlots.contains(member.shareSlot)) {
+            MembershipLog.warning("Two nodes have the same quota share slot; only the first keeps its share",
+                                  {{"slot", std::to_string(member.shareSlot)},
+                                   {"first", holder->second->node.value},
+                                   {"second", member.node.value},
+                                   {"remedy", "Give each node of the zone a share_slot of its own."}});
+        }
+    }
+    m_duplicateSlots = std::move(duplicates);
+}
+
+std::vector<Endpoint> Membership::spreadTargets(std::size_t count)
+{
+    std::vector<Endpoint> targets;
+    std::vector<const std::vector<Member> *> zones;
+    for (const auto &[zone, record] : m_state.zones.records()) {
+        if (zone != m_state.self.zone && !record.content.relays.empty()
+            && m_exchange.isReachable(record, m_state.settings.zoneReachable)) {
+            zones.push_back(&record.content.relays);
+        }
+    }
+    const std::vector<Member> peers = m_state.randomPeers(count);
+    const std::size_t others = std::min(zones.size(), count - std::min(peers.size(), (count + 1) / 2));
+    for (std::size_t index = 0; index < std::min(peers.size(), count - others); ++index) {
+        targets.push_back(peers[index].endpoint);
+    }
+    for (std::size_t taken = 0; taken < others; ++taken) {
+        const std::size_t index = m_state.random.below(zones.size());
+        const std::vector<Member> &relays = *zones[index];
+        targets.push_back(relays[m_state.random.below(relays.size())].endpoint);
+        zones.erase(zones.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    return targets;
+}
+
+bool Membership::isAmongLowest(std::size_t count) const
+{
+    const std::vector<NodeName> lowest = m_state.relayNames(count);
+    return std::ranges::find(lowest, m_state.self.node) != lowest.end();
+}
+
+std::optional<Duration> Membership::sinceOtherZone() const
+{
+    if (!m_state.otherZoneHeardAt) {
+        return std::nullopt;
+    }
+    return m_state.clock.now() - *m_state.otherZoneHeardAt;
+}
+
+} // namespace vanillatack
