--- a/src/attempts/iattemptledger.h
+++ b/src/attempts/iattemptledger.h
@@ -17,7 +17,8 @@
     /// Starts a call and moves part of the rest into its escrow. Returns the part to hand down, 0 or more.
     virtual int beginCall(RequestId request, CallId call) = 0;
 
-    /// Ends a call whose reply returned a part; more than was handed down counts as what was handed down.
+    /// Ends a call whose reply returned a part. A reply that returns more than was handed down is wrong, so all of its
+    /// escrow counts as used.
     virtual void finishCall(RequestId request, CallId call, int returned) = 0;
 
     /// Ends a call whose reply is lost: all of its escrow counts as used.
--- /dev/null
+++ b/src/attempts/internal/retrybudget.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "attempts/iretrybudget.h"
+#include "base/clock.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstdint>
+
+namespace vanillatack {
+
+/// Counts attempts per service in buckets of one second. In any 10 s, retries are at most the ratio of the first
+/// attempts in these 10 s, plus 10.
+class RetryBudget final : public IRetryBudget
+{
+public:
+    explicit RetryBudget(const IClock &clock);
+
+    void recordFirstAttempt(const ServiceName &service) override;
+    bool tryRetry(const ServiceName &service) override;
+    void setRatioPercent(int percent) override;
+
+private:
+    static constexpr int WindowSeconds = 10;
+    static constexpr int FreeRetriesPerSecond = 1;
+    /// One more than the window, since the bucket of the current second is incomplete.
+    static constexpr int BucketCount = WindowSeconds + 1;
+
+    struct Bucket {
+        std::int64_t second = -1;
+        std::int64_t firstAttempts = 0;
+        std::int64_t retries = 0;
+    };
+    using Buckets = std::array<Bucket, BucketCount>;
+
+    [[nodiscard]] std::int64_t currentSecond() const;
+    static Bucket &bucketAt(Buckets &buckets, std::int64_t second);
+
+    const IClock &m_clock;
+    int m_ratioPercent = 10;
+    absl::flat_hash_map<ServiceName, Buckets> m_services;
+};
+
+} // namespace vanillatack
