Add the platform services and their stand-in

Cause: nothing implements ITableService and IObjectStore yet, and the daemon needs both to start.

Change: MemoryStore with services over it (completions through the new IExecutor), an HTTP client on a bounded thread pool, the protocol in docs/platform-protocol.md, and vt_standin_platform with faults (refuse, 503, delay, lost answers with a seed) and counters on a control port.

Before: no platform. The differential test runs 400 random calls (seed 11) against MemoryStore.

Conclusion: every error kind of the client was seen against the stand-in: Unavailable, OutcomeUnknown, Timeout, InvalidArgument, Conflict.

--- /dev/null
+++ b/src/standin/tests/httpplatform_tests.cpp
@@ -0,0 +1,298 @@
+// The HTTP client of src/platform against the stand-in platform.
+
+// Before CppUTest, whose macro for new does not allow the placement new in <regex>.
+#include <httplib.h>
+
+#include "base/random.h"
+#include "platform/platformsetup.h"
+#include "standin/standinplatform.h"
+#include "testing/manualexecutor.h"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace vanillatack;
+
+namespace {
+
+/// A socket that accepts connections in the kernel and never answers.
+class SilentServer
+{
+public:
+    SilentServer()
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), size);
+        ::listen(m_socket, 16);
+        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
+        port = ntohs(address.sin_port);
+    }
+
+    ~SilentServer()
+    {
+        ::close(m_socket);
+    }
+
+    int port = 0;
+
+private:
+    int m_socket;
+};
+
+/// Moves on by a minute with each look, so that every queued call has waited too long.
+class HurriedClock final : public IClock
+{
+public:
+    TimePoint now() const override
+    {
+        return TimePoint(std::chrono::minutes(++m_minutes));
+    }
+
+    WallTime wallNow() const override
+    {
+        return {};
+    }
+
+private:
+    mutable std::atomic<int> m_minutes{0};
+};
+
+} // namespace
+
+TEST_GROUP(HttpPlatform)
+{
+    ManualClock clock;
+    ManualExecutor executor{clock};
+    StandInPlatform standIn{{.threads = 8}};
+    PlatformServices platform;
+
+    void setup() override
+    {
+        CHECK(standIn.start().has_value());
+        connect(standIn.port());
+    }
+
+    void connect(int port, Duration answerTimeout = std::chrono::seconds(30))
+    {
+        platform = makeHttpPlatform({.port = port, .threads = 2, .answerTimeout = answerTimeout}, clock, executor);
+    }
+
+    template<class Value, class Start>
+    Result<Value> wait(Start start)
+    {
+        std::optional<Result<Value>> outcome;
+        start([&](const Result<Value> &result) {
+            outcome = result;
+        });
+        CHECK(!outcome.has_value());
+        while (!outcome) {
+            executor.runDue();
+            std::this_thread::yield();
+        }
+        return *outcome;
+    }
+
+    Result<std::optional<TableRow>> read(const std::string &key)
+    {
+        return wait<std::optional<TableRow>>([&](auto done) {
+            platform.table->read(key, done);
+        });
+    }
+
+    Result<std::vector<TableRow>> readMany(const std::vector<std::string> &keys)
+    {
+        return wait<std::vector<TableRow>>([&](auto done) {
+            platform.table->readMany(keys, done);
+        });
+    }
+
+    Result<std::vector<TableRow>> scan(const std::string &prefix, const std::string &after, std::size_t limit)
+    {
+        return wait<std::vector<TableRow>>([&](auto done) {
+            platform.table->scan(prefix, after, limit, done);
+        });
+    }
+
+    Result<TableCommit> commit(const std::vector<TableWrite> &writes)
+    {
+        return wait<TableCommit>([&](auto done) {
+            platform.table->commit(writes, done);
+        });
+    }
+
+    Result<void> put(const std::string &name, const std::string &content)
+    {
+        return wait<void>([&](auto done) {
+            platform.objects->put(name, content, done);
+        });
+    }
+
+    Result<std::optional<std::string>> get(const std::string &name)
+    {
+        return wait<std::optional<std::string>>([&](auto done) {
+            platform.objects->get(name, done);
+        });
+    }
+
+    void checkErrors(ErrorKind ofReads, ErrorKind ofWrites)
+    {
+        CHECK(read("k").error().kind == ofReads);
+        CHECK(readMany({"k"}).error().kind == ofReads);
+        CHECK(scan("k", "", 5).error().kind == ofReads);
+        CHECK(get("k").error().kind == ofReads);
+        CHECK(commit({{"k", "v", {}}}).error().kind == ofWrites);
+        CHECK(put("k", "v").error().kind == ofWrites);
+    }
+};
+
+// Guards against a difference between the protocol and the services it stands for, e.g. in escaping.
+TEST(HttpPlatform, agreesWithTheStoreInMemory)
+{
+    SeededRandom random(11);
+    MemoryStore naive;
+    const std::vector<std::string> keys{"a", "a/b c", "a/ä&=+?%", "b#"};
+    for (int step = 0; step < 400; ++step) {
+        const std::string &key = keys[random.below(keys.size())];
+        const std::string &other = keys[random.below(keys.size())];
+        std::string value(random.below(4), static_cast<char>(random.below(256)));
+        switch (random.below(6)) {
+        case 0: {
+            const TableWrite write{.key = key,
+                                   .value = random.below(4) == 0 ? std::nullopt : std::optional(value),
+                                   .expectedVersion =
+                                       random.below(2) == 0 ? std::nullopt : std::optional(random.below(3))};
+            const TableCommit ours = commit({write}).value();
+            const TableCommit expected = naive.commit({write}).value();
+            CHECK(ours.committed == expected.committed && ours.conflicts == expected.conflicts
+                  && ours.versions == expected.versions);
+            break;
+        }
+        case 1:
+            CHECK(read(key).value() == naive.read(key));
+            break;
+        case 2:
+            CHECK(readMany({key, other}).value() == naive.readMany({key, other}));
+            break;
+        case 3:
+            CHECK(scan(key.substr(0, 1), other, 2).value() == naive.scan(key.substr(0, 1), other, 2));
+            break;
+        case 4:
+            CHECK(put(key, value).has_value() == naive.putObject(key, value).has_value());
+            break;
+        default:
+            CHECK(get(key).value() == naive.getObject(key));
+            break;
+        }
+    }
+}
+
+// Guards against "nothing was done" when it is not true, and against "unknown" when it is.
+TEST(HttpPlatform, refusedConnectionsAreUnavailable)
+{
+    CHECK(standIn.setFaults({.down = PlatformDown::Refuse}).has_value());
+    checkErrors(ErrorKind::Unavailable, ErrorKind::Unavailable);
+    CHECK(standIn.setFaults({}).has_value());
+    CHECK(commit({{"k", "v", 0}}).value().committed);
+    LONGS_EQUAL(1, standIn.counters().writes);
+}
+
+// Guards against trusting a failure status: a proxy may send it after the service did the write.
+TEST(HttpPlatform, failureStatusLeavesWritesUnknown)
+{
+    CHECK(standIn.setFaults({.down = PlatformDown::Error}).has_value());
+    checkErrors(ErrorKind::Timeout, ErrorKind::OutcomeUnknown);
+    LONGS_EQUAL(6, standIn.counters().refused);
+}
+
+// Guards against reporting a write as not done when only its answer was lost.
+TEST(HttpPlatform, lostAnswersLeaveWritesUnknown)
+{
+    std::uint64_t version = 0;
+    for (const AnswerLoss loss : {AnswerLoss::Drop, AnswerLoss::Error}) {
+        CHECK(standIn.setFaults({.loseAnswerProbability = 1, .loss = loss}).has_value());
+        CHECK(commit({{"k", "v", version}}).error().kind == ErrorKind::OutcomeUnknown);
+        CHECK(put("o", "x").error().kind == ErrorKind::OutcomeUnknown);
+        LONGS_EQUAL(++version, read("k").value()->version);
+        STRCMP_EQUAL("x", get("o").value()->c_str());
+    }
+    LONGS_EQUAL(4, standIn.counters().answersLost);
+}
+
+// Guards against a call that waits forever for a service that is silent.
+TEST(HttpPlatform, silenceEndsWithTheTimeout)
+{
+    const SilentServer silent;
+    connect(silent.port, std::chrono::milliseconds(20));
+    checkErrors(ErrorKind::Timeout, ErrorKind::OutcomeUnknown);
+}
+
+// Guards against taking any HTTP server for the platform: its answers must not read as absent rows.
+TEST(HttpPlatform, answersOfAnotherServerAreErrors)
+{
+    httplib::Server other;
+    other.set_keep_alive_max_count(1); // stop() waits for open connections.
+    other.Post(".*", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content("<html>", "text/html");
+    });
+    const int port = other.bind_to_any_port("127.0.0.1");
+    std::thread thread([&other] {
+        other.listen_after_bind();
+    });
+    connect(port);
+    CHECK(read("k").error().kind == ErrorKind::InvalidArgument);
+    CHECK(get("k").error().kind == ErrorKind::InvalidArgument);
+    CHECK(readMany({"k"}).error().kind == ErrorKind::Timeout);
+    CHECK(commit({{"k", "v", {}}}).error().kind == ErrorKind::OutcomeUnknown);
+    other.stop();
+    thread.join();
+}
+
+// Guards against an unbounded queue, and against calls that are lost when the client is destroyed.
+TEST(HttpPlatform, fullQueueIsUnavailable)
+{
+    platform = makeHttpPlatform({.port = standIn.port(), .threads = 0, .queueLimit = 2}, clock, executor);
+    int unavailable = 0;
+    for (int call = 0; call < 3; ++call) {
+        platform.table->commit({{"k", "v", {}}}, [&](const Result<TableCommit> &result) {
+            unavailable += result.error().kind == ErrorKind::Unavailable ? 1 : 0;
+        });
+    }
+    executor.runDue();
+    LONGS_EQUAL(1, unavailable);
+    platform = {};
+    executor.runDue();
+    LONGS_EQUAL(3, unavailable);
+}
+
+// Guards against sending a call that its caller has given up long ago.
+TEST(HttpPlatform, callThatWaitedTooLongIsNotSent)
+{
+    const HurriedClock hurried;
+    platform = makeHttpPlatform({.port = standIn.port()}, hurried, executor);
+    CHECK(commit({{"k", "v", {}}}).error().kind == ErrorKind::Unavailable);
+    LONGS_EQUAL(0, standIn.counters().writes);
+    platform = {};
+}
+
+// Guards against a control port that cannot bring the platform back.
+TEST(HttpPlatform, faultsAreSetOverTheControlPort)
+{
+    httplib::Client control("127.0.0.1", standIn.controlPort());
+    LONGS_EQUAL(200, control.Post("/control/faults", R"({"down":"refuse"})", "application/json")->status);
+    CHECK(read("k").error().kind == ErrorKind::Unavailable);
+    LONGS_EQUAL(400, control.Post("/control/faults", R"({"down":"maybe"})", "application/json")->status);
+    LONGS_EQUAL(200, control.Post("/control/faults", "{}", "application/json")->status);
+    CHECK(read("k").has_value());
+    CHECK(control.Get("/control")->body.find(R"("reads":1)") != std::string::npos);
+    LONGS_EQUAL(200, control.Post("/control/reset", "", "application/json")->status);
+    LONGS_EQUAL(0, standIn.counters().reads);
+}
