Read and validate the fleet configuration

Cause: the daemon and the tool need the configuration of the fleet as typed values, and operators need all problems of a file at once.

IniDocument now takes section headers and unreadable lines from the text itself: the library reports neither empty sections nor repeated headers, and only the first unreadable line. Entries that are set twice are reported.

--- a/src/base/inidocument.cpp
+++ b/src/base/inidocument.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cstring>
+#include <map>
 #include <mutex>
 
 namespace vanillatack {
@@ -23,9 +24,32 @@
     std::string_view rest;
     int line = 0;
     std::vector<IniSection> sections;
+    std::vector<int> badLines;
     bool lineTooLong = false;
 };
 
+// The library reports neither sections without entries nor repeated headers, and only the first line that it cannot
+// read. All three are taken from the line itself.
+void inspectLine(ParseState &state, absl::string_view line)
+{
+    const absl::string_view text = absl::StripAsciiWhitespace(line);
+    if (text.empty() || text[0] == '#' || text[0] == ';') {
+        return;
+    }
+    const std::size_t end = text.find(']');
+    if (text[0] != '[') {
+        if (text.find_first_of("=:") == absl::string_view::npos) {
+            state.badLines.push_back(state.line);
+        }
+    } else if (end == absl::string_view::npos) {
+        state.badLines.push_back(state.line);
+    } else {
+        const std::pair<std::string, std::string> title =
+            absl::StrSplit(text.substr(1, end - 1), absl::MaxSplits(' ', 1));
+        state.sections.push_back({title.first, std::string(absl::StripAsciiWhitespace(title.second)), state.line, {}});
+    }
+}
+
 char *readLine(char *buffer, int size, void *stream)
 {
     auto &state = *static_cast<ParseState *>(stream);
@@ -40,23 +64,35 @@
     buffer[length] = '\0';
     state.rest.remove_prefix(full);
     ++state.line;
+    inspectLine(state, absl::string_view(buffer, length));
     return buffer;
 }
 
-int addEntry(void *user, const char *sectionTitle, const char *name, const char *value)
+int addEntry(void *user, const char *, const char *name, const char *value)
 {
     auto &state = *static_cast<ParseState *>(user);
-    const std::pair<std::string, std::string> title = absl::StrSplit(sectionTitle, absl::MaxSplits(' ', 1));
-    const std::string sectionName(absl::StripAsciiWhitespace(title.second));
-    const bool sameSection = !state.sections.empty() && state.sections.back().kind == title.first
-        && state.sections.back().name == sectionName;
-    if (!sameSection) {
-        state.sections.push_back({title.first, sectionName, state.line, {}});
+    if (state.sections.empty()) {
+        state.sections.push_back({"", "", state.line, {}});
     }
     state.sections.back().entries.push_back({name, value, state.line});
     return 1;
 }
 
+void reportRepeatedEntries(const IniSection &section, const std::string &file, std::vector<TextProblem> &problems)
+{
+    std::map<std::string_view, int> lines;
+    for (const IniEntry &entry : section.entries) {
+        const auto [first, added] = lines.try_emplace(entry.name, entry.line);
+        if (!added) {
+            problems.push_back(
+                {file,
+                 entry.line,
+                 absl::StrCat(entry.name, " is set twice in its section, first at line ", first->second, "."),
+                 "Remove one of the lines."});
+        }
+    }
+}
+
 void configureParser()
 {
     // The library's parser options are process-wide variables.
@@ -97,17 +133,23 @@
     configureParser();
     ParseState state;
     state.rest = text;
-    const int badLine = ini_parse_stream(readLine, &state, addEntry, &state);
+    const int result = ini_parse_stream(readLine, &state, addEntry, &state);
     IniDocument document;
     document.m_file = std::string(file);
     document.m_sections = std::move(state.sections);
-    if (badLine > 0) {
+    if (result > 0 && std::find(state.badLines.begin(), state.badLines.end(), result) == state.badLines.end()) {
+        state.badLines.push_back(result);
+    } else if (result < 0) {
+        problems.push_back({document.m_file, 0, "The parser is out of memory.", "Use a smaller file."});
+    }
+    for (const int line : state.badLines) {
         problems.push_back({document.m_file,
-                            badLine,
+                            line,
                             "The line is neither a section, an entry nor a comment.",
                             "Write [kind name], name = value, or start the line with #."});
-    } else if (badLine < 0) {
-        problems.push_back({document.m_file, 0, "The parser is out of memory.", "Use a smaller file."});
+    }
+    for (const IniSection &section : document.m_sections) {
+        reportRepeatedEntries(section, document.m_file, problems);
     }
     if (state.lineTooLong) {
         problems.push_back({document.m_file, 0, "A line is longer than 4095 bytes.", "Shorten the line."});
--- a/src/base/inidocument.h
+++ b/src/base/inidocument.h
@@ -33,7 +33,7 @@
 struct IniSection {
     std::string kind;
     std::string name;
-    int line = 0; ///< Line of the first entry, since the parser reports sections with their entries.
+    int line = 0; ///< Line of the header.
     std::vector<IniEntry> entries;
 };
 
@@ -41,7 +41,8 @@
 class IniDocument
 {
 public:
-    /// Parses the text. Problems of syntax are added to the list; what could be read is returned all the same.
+    /// Parses the text. Problems of syntax and entries set twice are added to the list; what could be read is returned
+    /// all the same. Every header starts a section, also without entries and also when its title was there before.
     static IniDocument parse(std::string_view text, std::string_view file, std::vector<TextProblem> &problems);
 
     [[nodiscard]] const std::vector<IniSection> &sections() const
--- a/src/base/tests/inidocument_tests.cpp
+++ b/src/base/tests/inidocument_tests.cpp
@@ -57,3 +57,20 @@
     CHECK(!parseDuration("s").has_value());
     CHECK(!parseDuration("99999999999999d").has_value());
 }
+
+// Guards against sections without entries that vanish and repeated headers that are merged.
+TEST(IniDocument, everyHeaderStartsASection)
+{
+    const IniDocument document = IniDocument::parse("[a x]\n[a x]\nb = 1\n[c]\n", "a.ini", problems);
+    LONGS_EQUAL(0, problems.size());
+    LONGS_EQUAL(3, document.sections().size());
+    LONGS_EQUAL(2, document.sections()[1].line);
+    LONGS_EQUAL(1, document.sections()[1].entries.size());
+}
+
+// Guards against reporting only the first bad line, and against silently dropping the second value of a setting.
+TEST(IniDocument, badLinesAndRepeatedEntriesAreAllReported)
+{
+    IniDocument::parse("[a]\nb = 1\nb = 2\nnonsense\n[open\n", "a.ini", problems);
+    LONGS_EQUAL(3, problems.size());
+}
--- /dev/null
+++ b/src/config/internal/configreader.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "config/fleetconfig.h"
+
+namespace vanillatack {
+
+/// Reads one configuration text. Collects every problem instead of stopping at the first.
+class ConfigReader
+{
+public:
+    ConfigReader(std::string_view text, std::string_view file);
+
+    ConfigParse read();
+
+private:
+    /// Checks kinds, names and duplicates of all sections.
+    void checkSections();
+    void readExceptions();
+    void readException(const IniSection &section);
+
+    /// The section with the entries of its exceptions in place of its own.
+    IniSection withExceptions(const IniSection &section) const;
+
+    void readDefaults(const IniSection &section);
+    void readZone(const IniSection &section);
+    void readService(const IniSection &section);
+    void readRoute(const IniSection &section);
+    void readObjective(IniSectionReader &reader, RouteConfig &route);
+    void readWorkspace(const IniSection &section);
+
+    void checkRoutes();
+    void checkZones();
+
+    /// A stopped zone gives its quota shares to the others, so the reason has to be on record.
+    void checkStoppedOnlyByException(const IniSection &section);
+    void report(int line, std::string message, std::string remedy);
+
+    [[nodiscard]] int lineOf(std::string_view kind, const std::string &name) const;
+
+    std::vector<TextProblem> m_problems;
+    IniDocument m_document;
+    FleetConfig m_config;
+    std::map<std::string, std::vector<IniEntry>> m_overrides; ///< By target, e.g. "route certificates".
+};
+
+/// Whether the name consists of 1 to 40 characters of a-z, 0-9 and "-", and neither starts nor ends with "-". Such
+/// names are safe as metric labels and table keys.
+bool isConfigName(std::string_view name);
+
+/// Decodes a request path and removes the query. nullopt when a segment is empty, "." or "..", or when the path holds
+/// an invalid escape, a control character or a backslash: an upstream may normalize such a path into the prefix of
+/// another route.
+std::optional<std::string> normalizedPath(std::string_view path);
+
+} // namespace vanillatack
--- a/src/model/ids.h
+++ b/src/model/ids.h
@@ -23,7 +23,8 @@
         return value.empty();
     }
 
-    auto operator<=>(const Name &) const = default;
+    // clang-tidy 14 takes the literal 0 in the generated comparison for a null pointer.
+    auto operator<=>(const Name &) const = default; // NOLINT(modernize-use-nullptr)
 
     template<class H>
     friend H AbslHashValue(H state, const Name &name)
