--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -128,6 +128,8 @@
 };
 
 /// Summary of a zone, exchanged by relays of zones and spread inside the zone. Higher versions replace lower ones.
+/// Three forms: whole (baseVersion 0, with relays), change (baseVersion > 0: only what changed since, relays and share
+/// owners only when they changed, a removed service without contacts), heartbeat (baseVersion 0, no relays).
 struct ZoneDigest {
     NodeName sender;
     ZoneName zone;
@@ -137,7 +139,9 @@
     std::vector<Member> shareOwners; ///< Nodes that hold quota share slots.
     StateVersions versions; ///< Lowest versions in force at the zone's reachable nodes.
     int nodes = 0; ///< Nodes alive in the zone.
-    bool replyWanted = false;
+    bool replyWanted = false; ///< Asks for what is newer than version; carries nothing else.
+    std::uint64_t baseVersion = 0; ///< Version that a change applies to.
+    std::uint64_t heartbeat = 0; ///< Milliseconds of wall time when the zone last confirmed the digest; 0 unknown.
 };
 
 // ---- documents ---------------------------------------------------------------------------------------------------
--- a/src/wire/internal/controlcodec.cpp
+++ b/src/wire/internal/controlcodec.cpp
@@ -147,6 +147,8 @@
     write(message.initVersions(), in.versions);
     message.setNodes(in.nodes);
     message.setReplyWanted(in.replyWanted);
+    message.setBaseVersion(in.baseVersion);
+    message.setHeartbeat(in.heartbeat);
 }
 
 ZoneDigest read(schema::ZoneDigest::Reader in)
@@ -165,6 +167,8 @@
     out.versions = readVersions(in.getVersions());
     out.nodes = in.getNodes();
     out.replyWanted = in.getReplyWanted();
+    out.baseVersion = in.getBaseVersion();
+    out.heartbeat = in.getHeartbeat();
     return out;
 }
 
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -104,6 +104,8 @@
   versions @6 :StateVersions;
   nodes @7 :Int32;
   replyWanted @8 :Bool;
+  baseVersion @9 :UInt64;
+  heartbeat @10 :UInt64;
 }
 
 struct DocumentFetch {
--- a/src/wire/tests/codec_tests.cpp
+++ b/src/wire/tests/codec_tests.cpp
@@ -30,6 +30,8 @@
     digest.relays = {exampleMember("n3")};
     digest.versions = {1, 2, 3, 4};
     digest.nodes = 5;
+    digest.baseVersion = 11;
+    digest.heartbeat = 13;
     return digest;
 }
 
@@ -66,6 +68,7 @@
     CHECK(copy.services == exampleDigest().services);
     CHECK(copy.relays == exampleDigest().relays);
     CHECK(copy.versions == exampleDigest().versions);
+    CHECK(copy.baseVersion == 11 && copy.heartbeat == 13 && copy.nodes == 5);
 }
 
 // Guards against a crash of a node by bytes from outside: truncated, flipped or random.
