Add quota loans between nodes

Cause: no implementation of IQuota. Borrow messages carry several workspaces and the held loan, returns carry tokens.

--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -182,7 +182,17 @@
 
 // ---- quota -------------------------------------------------------------------------------------------------------
 
-/// Amounts are millionths of a request, rates millionths of a request per second.
+/// One workspace of a borrow request or grant. Amounts are millionths of a request, rates millionths per second.
+struct LoanItem {
+    WorkspaceName workspace;
+    std::int64_t rate = 0;
+    std::int64_t burst = 0;
+    std::int64_t tokens = 0;
+    LoanId loan; ///< In a request: the loan now held from the receiver, 0 for none. In a grant: the new loan.
+    Duration term{0}; ///< Of a grant; the borrower counts it from before its request was sent.
+};
+
+/// Asks an owner to replace the loans of some workspaces. The fields describe the first workspace, more the others.
 struct BorrowRequest {
     NodeName sender;
     Endpoint replyTo;
@@ -191,8 +201,11 @@
     std::int64_t rate = 0; ///< Wanted rate.
     std::int64_t burst = 0; ///< Wanted bucket capacity.
     std::int64_t tokens = 0; ///< Wanted tokens now.
+    LoanId held{}; ///< Loan of this workspace now held from the receiver; earlier grants are not used any more.
+    std::vector<LoanItem> more{};
 };
 
+/// Replaces the loans that the borrower has from the sender for the workspaces named.
 struct BorrowGrant {
     NodeName sender;
     std::uint64_t sequence = 0;
@@ -202,12 +215,14 @@
     std::int64_t burst = 0;
     std::int64_t tokens = 0;
     Duration term{0}; ///< The borrower counts it from before its request was sent.
+    std::vector<LoanItem> more{};
 };
 
 struct LoanReturn {
     NodeName sender;
     LoanId loan;
     std::uint64_t lenderIncarnation = 0;
+    std::int64_t tokens = 0; ///< Unused tokens that go back to the lender.
 };
 
 using ControlMessage = std::variant<Ping,
--- /dev/null
+++ b/src/quota/tests/fakefleet.cpp
@@ -0,0 +1,424 @@
+#include "quota/tests/fakefleet.h"
+
+#include "base/invariant.h"
+
+#include <cmath>
+
+namespace vanillatack {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration TickInterval = 50ms;
+constexpr Duration MembershipDelay = 3s; // Until the others see that a node is gone or a zone cut off.
+
+std::size_t itemBytes(const LoanItem &item)
+{
+    return 56 + (item.workspace.value.size() + 8) / 8 * 8;
+}
+
+// Unpacked Cap'n Proto with the names of the message, plus IP and UDP headers, type and a truncated HMAC.
+std::size_t messageBytes(const ControlMessage &message)
+{
+    std::size_t bytes = 28 + 24 + 120;
+    if (const auto *request = std::get_if<BorrowRequest>(&message)) {
+        for (const LoanItem &item : request->more) {
+            bytes += itemBytes(item);
+        }
+    } else if (const auto *grant = std::get_if<BorrowGrant>(&message)) {
+        for (const LoanItem &item : grant->more) {
+            bytes += itemBytes(item);
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+DriftingClock::DriftingClock(const ManualClock &clock, int driftPpm, Duration offset)
+    : m_clock(clock)
+    , m_start(clock.now())
+    , m_driftPpm(driftPpm)
+    , m_offset(offset)
+{
+}
+
+TimePoint DriftingClock::now() const
+{
+    const Duration passed = m_clock.now() - m_start;
+    return m_start + m_offset + passed + passed / 1'000'000 * m_driftPpm;
+}
+
+WallTime DriftingClock::wallNow() const
+{
+    return m_clock.wallNow();
+}
+
+void CentralBucket::set(TimePoint now, std::int64_t rate, std::int64_t burst, bool fill)
+{
+    m_level = std::min(m_level + WideInteger{m_rate} * (now - m_at).count(), WideInteger{m_burst} * 1'000'000'000);
+    m_at = now;
+    m_rate = rate;
+    m_burst = burst;
+    const WideInteger full = WideInteger{burst} * 1'000'000'000;
+    m_level = fill ? full : std::min(m_level, full);
+}
+
+bool CentralBucket::tryTake(TimePoint now)
+{
+    set(now, m_rate, m_burst, false);
+    const WideInteger whole = WideInteger{TokensPerRequest} * 1'000'000'000;
+    if (m_level < whole) {
+        return false;
+    }
+    m_level -= whole;
+    return true;
+}
+
+void CentralBucket::take(TimePoint now)
+{
+    VT_INVARIANT(tryTake(now), "The fleet admits more than rate x time + burst.");
+}
+
+struct FakeFleet::Reference {
+    CentralBucket bound; ///< Sees the requests that the fleet admits.
+    CentralBucket central; ///< Sees all requests.
+    FleetFigures figures;
+    std::map<int, std::pair<double, std::uint64_t>> demand; ///< Per node, with a number that ends old arrivals.
+};
+
+struct FakeFleet::Node final : IMessageSender, IQuotaListener {
+    struct Caller {
+        WorkspaceName workspace;
+        TimePoint until;
+        bool centralAdmits = false;
+    };
+
+    FakeFleet *fleet = nullptr;
+    int index = 0;
+    Member member;
+    std::unique_ptr<DriftingClock> clock;
+    std::unique_ptr<SeededRandom> random;
+    std::unique_ptr<IQuota> quota;
+    std::uint64_t incarnation = 0;
+    TimePoint pausedUntil;
+    TimePoint stoppedAt = TimePoint::max();
+    std::deque<Caller> callers;
+    std::uint64_t bytes = 0;
+
+    void send(const Endpoint &to, const ControlMessage &message) override
+    {
+        fleet->deliver(index, to, message);
+    }
+
+    void onTokens(const WorkspaceName & /*workspace*/) override
+    {
+        fleet->at(fleet->now(), [this] {
+            fleet->retryWaiting(*this);
+        });
+    }
+};
+
+FakeFleet::FakeFleet(const Options &options, std::uint64_t seed)
+    : m_options(options)
+    , m_random(seed)
+    , m_cut(static_cast<std::size_t>(options.zones))
+{
+    for (int zone = 0; zone < options.zones; ++zone) {
+        for (int index = 0; index < options.nodesPerZone; ++index) {
+            auto node = std::make_unique<Node>();
+            node->fleet = this;
+            node->index = static_cast<int>(m_nodes.size());
+            node->member.node = NodeName("n" + std::to_string(node->index));
+            node->member.zone = ZoneName("z" + std::to_string(zone));
+            node->member.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(node->index)};
+            node->member.shareSlot = index < options.sharesPerZone ? index : -1;
+            m_nodes.push_back(std::move(node));
+        }
+    }
+    for (int node = 0; node < nodeCount(); ++node) {
+        start(node);
+    }
+}
+
+FakeFleet::~FakeFleet() = default;
+
+TimePoint FakeFleet::now() const
+{
+    return m_clock.now();
+}
+
+int FakeFleet::nodeCount() const
+{
+    return static_cast<int>(m_nodes.size());
+}
+
+int FakeFleet::zoneOf(int node) const
+{
+    return node / m_options.nodesPerZone;
+}
+
+IRandom &FakeFleet::random()
+{
+    return m_random;
+}
+
+IQuota &FakeFleet::quota(int node)
+{
+    return *m_nodes[static_cast<std::size_t>(node)]->quota;
+}
+
+void FakeFleet::at(TimePoint time, std::function<void()> action)
+{
+    m_events.emplace(time, m_nextEvent);
+    m_actions.emplace(m_nextEvent++, std::move(action));
+}
+
+void FakeFleet::run(Duration duration)
+{
+    const TimePoint end = now() + duration;
+    while (!m_events.empty() && m_events.top().first <= end) {
+        const auto [time, id] = m_events.top();
+        m_events.pop();
+        m_clock.advance(std::max(Duration::zero(), time - now()));
+        const std::function<void()> action = std::move(m_actions.extract(id).mapped());
+        action();
+    }
+    m_clock.advance(end - now());
+}
+
+std::vector<Member> FakeFleet::ownersFor(int node) const
+{
+    std::vector<Member> own;
+    std::vector<Member> others;
+    for (const auto &candidate : m_nodes) {
+        const bool sameZone = zoneOf(candidate->index) == zoneOf(node);
+        const bool gone = now() - MembershipDelay > candidate->stoppedAt;
+        if (candidate->member.shareSlot >= 0 && !gone) {
+            (sameZone ? own : others).push_back(candidate->member);
+        }
+    }
+    own.insert(own.end(), others.begin(), others.end());
+    return own;
+}
+
+void FakeFleet::start(int index)
+{
+    Node &node = *m_nodes[static_cast<std::size_t>(index)];
+    const int drift = m_options.drift ? static_cast<int>(m_random.below(3)) * 1000 - 1000 : 0;
+    node.incarnation = std::max(node.incarnation + 1, static_cast<std::uint64_t>(now().time_since_epoch() / 1ms));
+    node.stoppedAt = TimePoint::max();
+    node.quota.reset();
+    node.clock = std::make_unique<DriftingClock>(m_clock, drift, Duration(std::chrono::seconds(m_random.below(100))));
+    node.random = std::make_unique<SeededRandom>(m_random.next());
+    node.quota = makeQuota(*node.clock,
+                           *node.random,
+                           node,
+                           node,
+                           node.member.node,
+                           node.member.endpoint,
+                           node.incarnation,
+                           m_options.settings);
+    configureNode(index, m_quotas, m_share);
+    tick(index, node.incarnation);
+}
+
+void FakeFleet::tick(int index, std::uint64_t incarnation)
+{
+    Node &node = *m_nodes[static_cast<std::size_t>(index)];
+    if (node.incarnation != incarnation || node.stoppedAt <= now()) {
+        return;
+    }
+    if (node.pausedUntil <= now()) {
+        node.quota->setOwners(ownersFor(index));
+        node.quota->tick();
+        retryWaiting(node);
+    }
+    at(now() + TickInterval - Duration(static_cast<std::int64_t>(m_random.below(5'000'000))), [=, this] {
+        tick(index, incarnation);
+    });
+}
+
+void FakeFleet::configureNode(int index,
+                              const std::map<WorkspaceName, WorkspaceQuota> &quotas,
+                              const ShareFraction &share)
+{
+    Node &node = *m_nodes[static_cast<std::size_t>(index)];
+    node.quota->configure(quotas, node.member.shareSlot >= 0 ? share : ShareFraction{});
+}
+
+void FakeFleet::configure(const std::map<WorkspaceName, WorkspaceQuota> &quotas, const ShareFraction &share)
+{
+    m_quotas = quotas;
+    m_share = share;
+    for (const auto &[name, quota] : quotas) {
+        setReference(name, quota, true);
+    }
+    for (int node = 0; node < nodeCount(); ++node) {
+        configureNode(node, quotas, share);
+    }
+}
+
+void FakeFleet::setReference(const WorkspaceName &workspace, const WorkspaceQuota &quota, bool fill)
+{
+    auto &reference = m_references[workspace];
+    if (!reference) {
+        reference = std::make_unique<Reference>();
+    }
+    reference->bound.set(now(), quota.rate, quota.burst, fill);
+    reference->central.set(now(), quota.rate, quota.burst, fill);
+}
+
+void FakeFleet::setDemand(const WorkspaceName &workspace, int zone, double perNodeAndSecond)
+{
+    for (int node = 0; node < nodeCount(); ++node) {
+        if (zone >= 0 && zoneOf(node) != zone) {
+            continue;
+        }
+        auto &[demand, epoch] = m_references.at(workspace)->demand[node];
+        demand = perNodeAndSecond;
+        const std::uint64_t current = ++epoch;
+        if (demand > 0) {
+            at(now() + Duration(static_cast<std::int64_t>(m_random.fraction() * 1e9 / demand)), [=, this] {
+                arrive(node, workspace, current);
+            });
+        }
+    }
+}
+
+void FakeFleet::arrive(int index, const WorkspaceName &workspace, std::uint64_t epoch)
+{
+    Reference &reference = *m_references.at(workspace);
+    const auto &[demand, current] = reference.demand[index];
+    if (current != epoch) {
+        return;
+    }
+    const double gapSeconds = -std::log(1 - m_random.fraction()) / demand;
+    at(now() + Duration(static_cast<std::int64_t>(gapSeconds * 1e9)), [=, this] {
+        arrive(index, workspace, epoch);
+    });
+    Node &node = *m_nodes[static_cast<std::size_t>(index)];
+    if (node.stoppedAt <= now()) {
+        return; // Callers turn to other nodes; not counted.
+    }
+    ++reference.figures.arrivals;
+    const bool centralAdmits = reference.central.tryTake(now());
+    reference.figures.central += centralAdmits ? 1 : 0;
+    node.callers.push_back({workspace, now() + m_options.callerWait, centralAdmits});
+    retryWaiting(node);
+}
+
+void FakeFleet::retryWaiting(Node &node)
+{
+    if (node.pausedUntil > now()) {
+        return;
+    }
+    std::set<WorkspaceName> empty;
+    for (std::size_t left = node.callers.size(); left > 0; --left) {
+        const Node::Caller caller = node.callers.front();
+        node.callers.pop_front();
+        Reference &reference = *m_references.at(caller.workspace);
+        QuotaDecision decision{.borrowing = true};
+        if (!empty.contains(caller.workspace)) {
+            decision = node.quota->tryAcquire(caller.workspace);
+        }
+        if (decision.admitted) {
+            reference.bound.take(now());
+            ++reference.figures.admitted;
+        } else if (decision.borrowing && now() < caller.until) {
+            empty.insert(caller.workspace);
+            node.callers.push_back(caller);
+        } else {
+            reference.figures.refusedInside += caller.centralAdmits ? 1 : 0;
+        }
+    }
+}
+
+void FakeFleet::deliver(int from, const Endpoint &to, const ControlMessage &message)
+{
+    m_nodes[static_cast<std::size_t>(from)]->bytes += messageBytes(message);
+    m_nodes[to.port]->bytes += messageBytes(message);
+    ++m_messages;
+    m_bytes += messageBytes(message);
+    const auto crossesCut = [=, this] {
+        const auto sender = static_cast<std::size_t>(zoneOf(from));
+        const auto receiver = static_cast<std::size_t>(zoneOf(to.port));
+        return sender != receiver && (m_cut[sender] || m_cut[receiver]);
+    };
+    int copies = m_random.below(1000) < static_cast<std::uint64_t>(m_options.lossPermille) ? 0 : 1;
+    copies += m_random.below(1000) < static_cast<std::uint64_t>(m_options.duplicatePermille) ? 1 : 0;
+    for (; copies > 0; --copies) {
+        // One in a hundred is very late when the network is bad.
+        const bool late = m_options.lossPermille > 0 && m_random.below(100) == 0;
+        const auto longest = static_cast<std::uint64_t>((late ? Duration(5s) : m_options.longestDelay).count());
+        const auto delay = Duration(static_cast<std::int64_t>(longest / 4 + m_random.below(longest)));
+        auto arrival = std::make_shared<std::function<void()>>();
+        *arrival = [=, this] {
+            Node &node = *m_nodes[to.port];
+            if (node.stoppedAt <= now() || crossesCut()) {
+                return;
+            }
+            if (node.pausedUntil > now()) {
+                at(node.pausedUntil, *arrival);
+                return;
+            }
+            const Endpoint sender = m_nodes[static_cast<std::size_t>(from)]->member.endpoint;
+            if (const auto *request = std::get_if<BorrowRequest>(&message)) {
+                node.quota->receive(sender, *request);
+            } else if (const auto *grant = std::get_if<BorrowGrant>(&message)) {
+                node.quota->receive(sender, *grant);
+            } else if (const auto *loanReturn = std::get_if<LoanReturn>(&message)) {
+                node.quota->receive(sender, *loanReturn);
+            }
+        };
+        at(now() + delay, *arrival);
+    }
+}
+
+void FakeFleet::pause(int node, Duration duration)
+{
+    m_nodes[static_cast<std::size_t>(node)]->pausedUntil = now() + duration;
+}
+
+void FakeFleet::stop(int node)
+{
+    m_nodes[static_cast<std::size_t>(node)]->stoppedAt = now();
+    m_nodes[static_cast<std::size_t>(node)]->callers.clear();
+}
+
+void FakeFleet::restart(int node)
+{
+    start(node);
+}
+
+void FakeFleet::cutOff(int zone, bool cut)
+{
+    m_cut[static_cast<std::size_t>(zone)] = cut;
+}
+
+std::uint64_t FakeFleet::busiestNodeBytes() const
+{
+    std::uint64_t result = 0;
+    for (const auto &node : m_nodes) {
+        result = std::max(result, node->bytes);
+    }
+    return result;
+}
+
+FleetFigures FakeFleet::takeFigures(const WorkspaceName &workspace)
+{
+    Reference &reference = *m_references.at(workspace);
+    FleetFigures result = reference.figures;
+    result.messages = m_messages;
+    result.bytes = m_bytes;
+    reference.figures = {};
+    m_messages = 0;
+    m_bytes = 0;
+    for (const auto &node : m_nodes) {
+        node->bytes = 0;
+    }
+    return result;
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/quota/tests/fakefleet.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "quota/internal/tokenbucket.h"
+#include "quota/quotasetup.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace vanillatack {
+
+/// A node's clock that runs fast or slow against the clock of the test.
+class DriftingClock final : public IClock
+{
+public:
+    DriftingClock(const ManualClock &clock, int driftPpm, Duration offset);
+
+    [[nodiscard]] TimePoint now() const override;
+    [[nodiscard]] WallTime wallNow() const override;
+
+private:
+    const ManualClock &m_clock;
+    TimePoint m_start;
+    int m_driftPpm;
+    Duration m_offset;
+};
+
+/// The naive central bucket, in true time. Amounts in millionths of a request.
+class CentralBucket
+{
+public:
+    void set(TimePoint now, std::int64_t rate, std::int64_t burst, bool fill);
+    bool tryTake(TimePoint now);
+    void take(TimePoint now); ///< Aborts when the bucket does not hold a whole request.
+
+private:
+    std::int64_t m_rate = 0;
+    std::int64_t m_burst = 0;
+    WideInteger m_level = 0; ///< Times 10^9.
+    TimePoint m_at;
+};
+
+struct FleetFigures {
+    std::uint64_t arrivals = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t central = 0; ///< Admitted by a central bucket that sees the same arrivals.
+    std::uint64_t refusedInside = 0; ///< Refused although that bucket admits.
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0; ///< Estimate for unpacked Cap'n Proto with UDP, IP and authentication code.
+};
+
+/// Many quotas on a network that loses, delays, duplicates and reorders, in virtual time.
+class FakeFleet
+{
+public:
+    struct Options {
+        int zones = 3;
+        int nodesPerZone = 5;
+        int sharesPerZone = 2;
+        int lossPermille = 0;
+        int duplicatePermille = 0;
+        Duration longestDelay = std::chrono::milliseconds(1);
+        bool drift = false;
+        Duration callerWait = std::chrono::milliseconds(50);
+        QuotaSettings settings;
+    };
+
+    FakeFleet(const Options &options, std::uint64_t seed);
+    ~FakeFleet();
+
+    void configure(const std::map<WorkspaceName, WorkspaceQuota> &quotas, const ShareFraction &share);
+    void configureNode(int node, const std::map<WorkspaceName, WorkspaceQuota> &quotas, const ShareFraction &share);
+    void setReference(const WorkspaceName &workspace, const WorkspaceQuota &quota, bool fill);
+    /// Requests per second at each node of a zone; -1 for all zones.
+    void setDemand(const WorkspaceName &workspace, int zone, double perNodeAndSecond);
+    void run(Duration duration);
+    void pause(int node, Duration duration);
+    void stop(int node);
+    void restart(int node);
+    void cutOff(int zone, bool cut);
+
+    [[nodiscard]] int nodeCount() const;
+    [[nodiscard]] int zoneOf(int node) const;
+    [[nodiscard]] std::uint64_t busiestNodeBytes() const;
+    IQuota &quota(int node);
+    FleetFigures takeFigures(const WorkspaceName &workspace);
+    IRandom &random();
+    TimePoint now() const;
+
+private:
+    struct Node;
+    struct Reference;
+
+    void at(TimePoint time, std::function<void()> action);
+    void deliver(int from, const Endpoint &to, const ControlMessage &message);
+    void arrive(int node, const WorkspaceName &workspace, std::uint64_t demandEpoch);
+    void retryWaiting(Node &node);
+    void admit(const WorkspaceName &workspace);
+    void start(int node);
+    void tick(int node, std::uint64_t incarnation);
+    std::vector<Member> ownersFor(int node) const;
+
+    Options m_options;
+    ManualClock m_clock;
+    SeededRandom m_random;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<bool> m_cut;
+    std::map<WorkspaceName, std::unique_ptr<Reference>> m_references;
+    std::map<WorkspaceName, WorkspaceQuota> m_quotas;
+    ShareFraction m_share;
+    std::map<std::uint64_t, std::function<void()>> m_actions;
+    std::priority_queue<std::pair<TimePoint, std::uint64_t>,
+                        std::vector<std::pair<TimePoint, std::uint64_t>>,
+                        std::greater<>>
+        m_events;
+    std::uint64_t m_nextEvent = 0;
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_bytes = 0;
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/quota/tests/quota_tests.cpp
@@ -0,0 +1,171 @@
+#include "quota/tests/fakefleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const WorkspaceName Large("large");
+const WorkspaceName Small("small");
+
+constexpr WorkspaceQuota requests(std::int64_t rate, std::int64_t burst)
+{
+    return {rate * TokensPerRequest, burst * TokensPerRequest};
+}
+
+double permille(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0 : 1000.0 * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+/// Prints the figures with VT_FIGURES=1 and returns the requests refused inside the rate in thousandths.
+double report(const char *name, const FleetFigures &figures)
+{
+    const double result = permille(figures.refusedInside, figures.arrivals);
+    if (std::getenv("VT_FIGURES") != nullptr) {
+        std::printf("\n%-44s arrivals %8llu admitted %8llu central %8llu refused inside %7.2f permille",
+                    name,
+                    static_cast<unsigned long long>(figures.arrivals),
+                    static_cast<unsigned long long>(figures.admitted),
+                    static_cast<unsigned long long>(figures.central),
+                    result);
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(Quota)
+{
+    FakeFleet::Options options;
+
+    std::unique_ptr<FakeFleet> startedFleet(const std::map<WorkspaceName, WorkspaceQuota> &quotas, std::uint64_t seed)
+    {
+        auto fleet = std::make_unique<FakeFleet>(options, seed);
+        fleet->configure(quotas, {1, options.zones * options.sharesPerZone});
+        fleet->run(40s);
+        return fleet;
+    }
+};
+
+// Guards against refusals inside the rate while nothing is wrong.
+TEST(Quota, admitsWhatACentralBucketAdmitsInCalm)
+{
+    const auto fleet = startedFleet({{Large, requests(3000, 3000)}, {Small, requests(20, 40)}}, 1);
+    fleet->setDemand(Large, -1, 140);
+    fleet->setDemand(Small, -1, 0.9);
+    fleet->run(2s);
+    report("calm, first 2 s, large", fleet->takeFigures(Large));
+    report("calm, first 2 s, small", fleet->takeFigures(Small));
+    fleet->run(60s);
+    CHECK(report("calm, large at 70%", fleet->takeFigures(Large)) <= 1);
+    CHECK(report("calm, small at 68%", fleet->takeFigures(Small)) <= 1);
+}
+
+// Guards against shares of less than one request that nobody can use.
+TEST(Quota, workspaceWithATinyBurstIsServed)
+{
+    const auto fleet = startedFleet({{Small, requests(10, 5)}}, 2);
+    fleet->setDemand(Small, -1, 0.2);
+    fleet->run(60s);
+    const FleetFigures figures = fleet->takeFigures(Small);
+    report("burst 5, at 30%", figures);
+    CHECK(figures.admitted * 100 >= figures.central * 98);
+}
+
+// Guards against quota that stays where the demand was.
+TEST(Quota, followsDemandBetweenZones)
+{
+    const auto fleet = startedFleet({{Large, requests(3000, 3000)}}, 3);
+    fleet->setDemand(Large, 0, 400);
+    fleet->run(20s);
+    report("one zone has all the demand, 67%", fleet->takeFigures(Large));
+    for (int jump = 1; jump <= 6; ++jump) {
+        fleet->setDemand(Large, (jump - 1) % 3, 0);
+        fleet->setDemand(Large, jump % 3, 400);
+        fleet->run(3s);
+        report("3 s after the demand jumped to another zone", fleet->takeFigures(Large));
+        fleet->run(7s);
+        CHECK(report("the 7 s after that", fleet->takeFigures(Large)) <= 10);
+    }
+}
+
+// Guards against wasted quota when demand exceeds it.
+TEST(Quota, usesTheRateWhenDemandIsFiveTimesTheRate)
+{
+    const auto fleet = startedFleet({{Large, requests(3000, 3000)}, {Small, requests(300, 300)}}, 4);
+    fleet->setDemand(Large, -1, 1000);
+    fleet->setDemand(Small, -1, 14);
+    fleet->run(5s);
+    fleet->takeFigures(Large);
+    fleet->takeFigures(Small);
+    fleet->run(30s);
+    const FleetFigures figures = fleet->takeFigures(Large);
+    report("five times the rate", figures);
+    CHECK(figures.admitted * 100 >= figures.central * 97);
+    CHECK(report("the other workspace at 70%", fleet->takeFigures(Small)) <= 1);
+}
+
+// Guards against refusals beyond the share that a zone that is cut off or a lost owner takes along.
+TEST(Quota, servesOnWithAZoneCutOffAndWithAnOwnerLost)
+{
+    const auto fleet = startedFleet({{Large, requests(3000, 3000)}}, 5);
+    fleet->setDemand(Large, -1, 120);
+    fleet->run(20s);
+    fleet->takeFigures(Large);
+    fleet->cutOff(2, true);
+    fleet->run(5s);
+    report("zone cut off at 60%, first 5 s", fleet->takeFigures(Large));
+    fleet->run(25s);
+    CHECK(report("zone cut off at 60%, the next 25 s", fleet->takeFigures(Large)) <= 1);
+    fleet->cutOff(2, false);
+    fleet->run(5s);
+    report("5 s after the cut ended", fleet->takeFigures(Large));
+    fleet->stop(0);
+    fleet->run(5s);
+    report("owner lost at 60%, first 5 s", fleet->takeFigures(Large));
+    fleet->run(25s);
+    CHECK(report("owner lost at 60%, the next 25 s", fleet->takeFigures(Large)) <= 1);
+}
+
+// Guards against any interleaving of faults that admits more than rate x time + burst; the fleet aborts then.
+TEST(Quota, neverExceedsTheQuotaUnderFaults)
+{
+    for (std::uint64_t seed = 100; seed < 112; ++seed) {
+        options.lossPermille = 50;
+        options.duplicatePermille = 100;
+        options.longestDelay = 20ms;
+        options.drift = true;
+        options.settings.startHold = seed % 2 == 0 ? 2100ms : 10s;
+        const auto fleet = startedFleet({{Large, requests(500, 300)}, {Small, requests(8, 5)}}, seed);
+        for (int step = 0; step < 60; ++step) {
+            IRandom &random = fleet->random();
+            const int node = static_cast<int>(random.below(static_cast<std::uint64_t>(fleet->nodeCount())));
+            const int zone = static_cast<int>(random.below(3));
+            switch (random.below(6)) {
+            case 0:
+                fleet->pause(node, Duration(static_cast<std::int64_t>(random.below(5'000'000'000))));
+                break;
+            case 1:
+                fleet->stop(node);
+                fleet->run(Duration(static_cast<std::int64_t>(random.below(500'000'000))));
+                fleet->restart(node);
+                break;
+            case 2:
+                fleet->cutOff(zone, random.below(2) == 0);
+                break;
+            default:
+                fleet->setDemand(Large, zone, static_cast<double>(random.below(200)));
+                fleet->setDemand(Small, zone, static_cast<double>(random.below(5)));
+            }
+            fleet->run(Duration(static_cast<std::int64_t>(random.below(2'000'000'000))));
+        }
+        CHECK(fleet->takeFigures(Large).admitted > 1000);
+        CHECK(fleet->takeFigures(Small).admitted > 10);
+    }
+}
