Encode loans of several workspaces in one message

Cause: quota messages now carry a list of workspaces. Change: the schema has one list of loan items; the round trip is tested.

--- a/src/wire/internal/controlcodec.cpp
+++ b/src/wire/internal/controlcodec.cpp
@@ -225,6 +225,49 @@
     return out;
 }
 
+void writeItem(schema::LoanItem::Builder out, const LoanItem &in)
+{
+    out.setWorkspace(in.workspace.value);
+    out.setRate(in.rate);
+    out.setBurst(in.burst);
+    out.setTokens(in.tokens);
+    out.setLoan(in.loan.value);
+    out.setTermNs(in.term.count());
+}
+
+LoanItem readItem(schema::LoanItem::Reader in)
+{
+    return {WorkspaceName(toString(in.getWorkspace())),
+            in.getRate(),
+            in.getBurst(),
+            in.getTokens(),
+            LoanId{in.getLoan()},
+            Duration(in.getTermNs())};
+}
+
+/// The first workspace has fields of its own in the value types.
+template<class Builder>
+void writeItems(Builder out, const LoanItem &first, const std::vector<LoanItem> &more)
+{
+    auto items = out.initItems(more.size() + 1);
+    writeItem(items[0], first);
+    for (unsigned index = 0; index < more.size(); ++index) {
+        writeItem(items[index + 1], more[index]);
+    }
+}
+
+std::vector<LoanItem> readItems(capnp::List<schema::LoanItem>::Reader in)
+{
+    if (in.size() == 0) {
+        throw DecodeFailure("a loan message has no items");
+    }
+    std::vector<LoanItem> items;
+    for (const auto item : in) {
+        items.push_back(readItem(item));
+    }
+    return items;
+}
+
 void writeMessage(schema::Control::Builder out, const BorrowRequest &in)
 {
     auto message = out.initBorrowRequest();
@@ -232,21 +275,23 @@
     message.setReplyAddress(in.replyTo.address);
     message.setReplyPort(in.replyTo.port);
     message.setSequence(in.sequence);
-    message.setWorkspace(in.workspace.value);
-    message.setRate(in.rate);
-    message.setBurst(in.burst);
-    message.setTokens(in.tokens);
+    writeItems(message, {in.workspace, in.rate, in.burst, in.tokens, in.held, {}}, in.more);
 }
 
 BorrowRequest read(schema::BorrowRequest::Reader in)
 {
+    std::vector<LoanItem> items = readItems(in.getItems());
+    const LoanItem first = items.front();
+    items.erase(items.begin());
     return {NodeName(toString(in.getSender())),
             {toString(in.getReplyAddress()), in.getReplyPort()},
             in.getSequence(),
-            WorkspaceName(toString(in.getWorkspace())),
-            in.getRate(),
-            in.getBurst(),
-            in.getTokens()};
+            first.workspace,
+            first.rate,
+            first.burst,
+            first.tokens,
+            first.loan,
+            std::move(items)};
 }
 
 void writeMessage(schema::Control::Builder out, const BorrowGrant &in)
@@ -254,24 +299,23 @@
     auto message = out.initBorrowGrant();
     message.setSender(in.sender.value);
     message.setSequence(in.sequence);
-    message.setLoan(in.loan.value);
-    message.setWorkspace(in.workspace.value);
-    message.setRate(in.rate);
-    message.setBurst(in.burst);
-    message.setTokens(in.tokens);
-    message.setTermNs(in.term.count());
+    writeItems(message, {in.workspace, in.rate, in.burst, in.tokens, in.loan, in.term}, in.more);
 }
 
 BorrowGrant read(schema::BorrowGrant::Reader in)
 {
+    std::vector<LoanItem> items = readItems(in.getItems());
+    const LoanItem first = items.front();
+    items.erase(items.begin());
     return {NodeName(toString(in.getSender())),
             in.getSequence(),
-            LoanId{in.getLoan()},
-            WorkspaceName(toString(in.getWorkspace())),
-            in.getRate(),
-            in.getBurst(),
-            in.getTokens(),
-            Duration(in.getTermNs())};
+            first.loan,
+            first.workspace,
+            first.rate,
+            first.burst,
+            first.tokens,
+            first.term,
+            std::move(items)};
 }
 
 void writeMessage(schema::Control::Builder out, const LoanReturn &in)
@@ -280,11 +324,12 @@
     message.setSender(in.sender.value);
     message.setLoan(in.loan.value);
     message.setLenderIncarnation(in.lenderIncarnation);
+    message.setTokens(in.tokens);
 }
 
 LoanReturn read(schema::LoanReturn::Reader in)
 {
-    return {NodeName(toString(in.getSender())), LoanId{in.getLoan()}, in.getLenderIncarnation()};
+    return {NodeName(toString(in.getSender())), LoanId{in.getLoan()}, in.getLenderIncarnation(), in.getTokens()};
 }
 
 ControlMessage readMessage(schema::Control::Reader in)
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -133,32 +133,34 @@
   keys @2 :List(WithdrawnKey);
 }
 
+struct LoanItem {
+  workspace @0 :Text;
+  rate @1 :Int64;
+  burst @2 :Int64;
+  tokens @3 :Int64;
+  loan @4 :UInt64;
+  termNs @5 :Int64;
+}
+
 struct BorrowRequest {
   sender @0 :Text;
   replyAddress @1 :Text;
   replyPort @2 :UInt16;
   sequence @3 :UInt64;
-  workspace @4 :Text;
-  rate @5 :Int64;
-  burst @6 :Int64;
-  tokens @7 :Int64;
+  items @4 :List(LoanItem);
 }
 
 struct BorrowGrant {
   sender @0 :Text;
   sequence @1 :UInt64;
-  loan @2 :UInt64;
-  workspace @3 :Text;
-  rate @4 :Int64;
-  burst @5 :Int64;
-  tokens @6 :Int64;
-  termNs @7 :Int64;
+  items @2 :List(LoanItem);
 }
 
 struct LoanReturn {
   sender @0 :Text;
   loan @1 :UInt64;
   lenderIncarnation @2 :UInt64;
+  tokens @3 :Int64;
 }
 
 # Starts a connection: the client's nonce, then the server's nonce and proof, then the client's proof.
--- a/src/wire/tests/codec_tests.cpp
+++ b/src/wire/tests/codec_tests.cpp
@@ -71,6 +71,19 @@
     CHECK(copy.baseVersion == 11 && copy.heartbeat == 13 && copy.nodes == 5);
 }
 
+// Guards against loans that change on the way, which would create tokens.
+TEST(Codec, loansSurviveARoundTrip)
+{
+    BorrowGrant grant{NodeName("n1"), 4, LoanId{5}, WorkspaceName("acme"), 6, 7, 8, std::chrono::seconds(2), {}};
+    grant.more.push_back({WorkspaceName("other"), 1, 2, 3, LoanId{9}, std::chrono::seconds(1)});
+    const auto decoded = decodeFrame(encodeFrame(ControlFrame{{"127.0.0.1", 9}, grant}));
+    CHECK(decoded.has_value());
+    const auto &copy = std::get<BorrowGrant>(std::get<ControlFrame>(decoded.value()).message);
+    CHECK(copy.sequence == 4 && copy.loan.value == 5 && copy.rate == 6 && copy.burst == 7 && copy.tokens == 8);
+    LONGS_EQUAL(1, copy.more.size());
+    CHECK(copy.more[0].loan.value == 9 && copy.more[0].tokens == 3 && copy.more[0].term == std::chrono::seconds(1));
+}
+
 // Guards against a crash of a node by bytes from outside: truncated, flipped or random.
 TEST(Codec, damagedMessagesAreRefusedOrDecodedWithoutACrash)
 {
