--- /dev/null
+++ b/src/admission/internal/levelestimator.cpp
@@ -0,0 +1,66 @@
+#include "admission/internal/levelestimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillatack {
+
+namespace {
+
+constexpr Duration UpdateInterval = std::chrono::milliseconds(100);
+/// From nothing to all classes in 1.6 s, so that early refusal ends within the recovery target of 2 s.
+constexpr double Rise = 0.25;
+constexpr double WeightDown = 0.5;
+/// Fewer refusals come from short bursts, which the queue of the next node may well take.
+constexpr double IgnoredShare = 0.02;
+
+} // namespace
+
+void LevelEstimator::recordAdmitted(PriorityClass priority)
+{
+    ++m_counts.at(static_cast<std::size_t>(priority)).admitted;
+}
+
+void LevelEstimator::recordRefused(PriorityClass priority)
+{
+    ++m_counts.at(static_cast<std::size_t>(priority)).refused;
+}
+
+void LevelEstimator::update(TimePoint now)
+{
+    if (now < m_nextUpdate) {
+        return;
+    }
+    evaluate();
+    m_counts.fill(Counts());
+    m_nextUpdate = now + UpdateInterval;
+}
+
+void LevelEstimator::evaluate()
+{
+    const int current = std::min(PriorityClassCount - 1, static_cast<int>(m_level));
+    for (int index = 0; index <= current; ++index) {
+        const Counts &counts = m_counts.at(static_cast<std::size_t>(index));
+        const int offered = counts.admitted + counts.refused;
+        if (counts.refused > IgnoredShare * offered) {
+            const double letThrough = index == current ? m_level - current : 1;
+            const double target = index + letThrough * counts.admitted / offered;
+            m_level += WeightDown * (target - m_level);
+            return;
+        }
+    }
+    m_level = std::min<double>(PriorityClassCount, m_level + Rise);
+}
+
+ServiceLevel LevelEstimator::level() const
+{
+    constexpr double Permille = 1000;
+    // A whole number n means that the first n classes are admitted completely.
+    const int lowest = std::clamp(static_cast<int>(std::ceil(m_level)) - 1, 0, PriorityClassCount - 1);
+    ServiceLevel result;
+    result.lowestAdmitted = static_cast<PriorityClass>(lowest);
+    result.admittedPermille = static_cast<int>(std::lround((m_level - lowest) * Permille));
+    return result;
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/admission/tests/upstreammodel.h
@@ -0,0 +1,306 @@
+#pragma once
+
+#include "admission/admissionsetup.h"
+#include "base/random.h"
+
+#include <cmath>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace vanillatack {
+
+/// Upstream in virtual time: requests beyond the slots wait inside it, first come, first served.
+struct UpstreamSettings {
+    int slots = 100;
+    double serviceSeconds = 0.02;
+    double variation = 0.5; ///< Spread of the service time: 0 constant, 1 exponential.
+    double thrashing = 0; ///< Service time grows by this share for each slots' worth of requests beyond the slots.
+    int shedAbove = 0; ///< Refuses requests above this number with 503; 0 for never.
+};
+
+/// Poisson arrivals of one workspace and class.
+struct Stream {
+    std::string workspace;
+    PriorityClass priority = PriorityClass::Interactive;
+    double perSecond = 0;
+    Duration deadline = std::chrono::seconds(1);
+    bool inProgress = false;
+};
+
+struct Tally {
+    int offered = 0;
+    int good = 0; ///< Finished within the deadline.
+    int refused = 0;
+    Duration longestTime{0}; ///< From the offer to the good end.
+
+    [[nodiscard]] double goodShare() const
+    {
+        return offered == 0 ? 1 : static_cast<double>(good) / offered;
+    }
+};
+
+/// First come, first served with a fixed limit and a bounded queue; the naive version.
+class NaiveAdmission final : public IAdmission
+{
+public:
+    explicit NaiveAdmission(IAdmissionListener &listener)
+        : m_listener(listener)
+    {
+    }
+    void configure(const AdmissionSettings &settings) override
+    {
+        m_queueLimit = static_cast<std::size_t>(settings.queueLimit);
+    }
+    void setAnnouncedSlots(int slots) override
+    {
+        m_snapshot.limit = slots;
+    }
+    void startCold() override
+    {
+    }
+    void setDraining(bool /*draining*/) override
+    {
+    }
+    AdmissionDecision offer(const AdmissionRequest & /*request*/) override
+    {
+        const TicketId ticket{++m_last};
+        if (m_snapshot.running < m_snapshot.limit) {
+            ++m_snapshot.running;
+            return {AdmissionOutcome::Admitted, ticket};
+        }
+        if (m_queue.size() >= m_queueLimit) {
+            return {};
+        }
+        m_queue.push_back(ticket);
+        return {AdmissionOutcome::Queued, ticket};
+    }
+    void finish(TicketId /*ticket*/, WorkOutcome /*outcome*/, Duration /*latency*/) override
+    {
+        if (m_queue.empty()) {
+            --m_snapshot.running;
+            return;
+        }
+        const TicketId next = m_queue.front();
+        m_queue.pop_front();
+        m_listener.onAdmitted(next);
+    }
+    void cancel(TicketId /*ticket*/) override
+    {
+    }
+    void tick() override
+    {
+    }
+    [[nodiscard]] ServiceLevel level() const override
+    {
+        return {};
+    }
+    [[nodiscard]] AdmissionSnapshot snapshot() const override
+    {
+        return m_snapshot;
+    }
+
+private:
+    IAdmissionListener &m_listener;
+    std::deque<TicketId> m_queue;
+    std::size_t m_queueLimit = 0;
+    std::uint64_t m_last = 0;
+    AdmissionSnapshot m_snapshot;
+};
+
+/// Runs streams against one admission and one upstream.
+class Simulation final : public IAdmissionListener
+{
+public:
+    Simulation(UpstreamSettings settings, std::uint64_t seed, bool naive = false)
+        : upstream(settings)
+        , m_random(seed)
+    {
+        if (naive) {
+            admission = std::make_unique<NaiveAdmission>(*this);
+            admission->configure(AdmissionSettings());
+        } else {
+            admission = makeAdmission(m_clock, *this, AdmissionSettings());
+        }
+        admission->setAnnouncedSlots(settings.slots);
+        schedule(Duration::zero(), Event::Tick, 0);
+    }
+
+    void addStream(const Stream &stream)
+    {
+        streams.push_back(stream);
+        tallies.emplace_back();
+        schedule(Duration::zero(), Event::Arrival, streams.size() - 1);
+    }
+
+    /// Runs for a time and returns the good completions per second in it.
+    double run(Duration time)
+    {
+        const TimePoint end = m_clock.now() + time;
+        const int before = good;
+        while (std::get<0>(m_events.top()) <= end) {
+            const auto [at, order, event, id] = m_events.top();
+            m_events.pop();
+            m_clock.advance(at - m_clock.now());
+            handle(event, id);
+        }
+        m_clock.advance(end - m_clock.now());
+        return (good - before) / std::chrono::duration<double>(time).count();
+    }
+
+    void resetTallies()
+    {
+        tallies.assign(streams.size(), Tally());
+    }
+
+    /// Completions per second at full use.
+    [[nodiscard]] double capacity() const
+    {
+        return upstream.slots / upstream.serviceSeconds;
+    }
+
+    void onAdmitted(TicketId ticket) override
+    {
+        start(ticket.value);
+    }
+    void onRefused(TicketId ticket, RefusalKind /*refusal*/, Duration /*retryAfter*/) override
+    {
+        ++tallies[m_requests.at(ticket.value).stream].refused;
+        m_requests.erase(ticket.value);
+    }
+
+    UpstreamSettings upstream;
+    std::unique_ptr<IAdmission> admission;
+    std::vector<Stream> streams;
+    std::vector<Tally> tallies;
+    std::vector<std::uint64_t> startOrder; ///< Streams of admitted requests, when recording.
+    int good = 0;
+
+private:
+    enum class Event {
+        Arrival,
+        Finish,
+        Tick,
+    };
+    struct Request {
+        std::size_t stream = 0;
+        TimePoint offered;
+        TimePoint started;
+        WorkOutcome outcome = WorkOutcome::Succeeded;
+    };
+
+    void schedule(Duration delay, Event event, std::uint64_t id)
+    {
+        m_events.emplace(m_clock.now() + delay, ++m_order, event, id);
+    }
+
+    Duration exponential(double meanSeconds)
+    {
+        return Duration(static_cast<std::int64_t>(-std::log(1 - m_random.fraction()) * meanSeconds * 1e9));
+    }
+
+    void handle(Event event, std::uint64_t id)
+    {
+        switch (event) {
+        case Event::Tick:
+            admission->tick();
+            schedule(std::chrono::milliseconds(10), Event::Tick, 0);
+            break;
+        case Event::Arrival:
+            if (streams[id].perSecond > 0) {
+                offer(id);
+            }
+            schedule(exponential(1 / std::max(1.0, streams[id].perSecond)), Event::Arrival, id);
+            break;
+        case Event::Finish:
+            finish(id);
+            break;
+        }
+    }
+
+    void offer(std::size_t index)
+    {
+        const Stream &stream = streams[index];
+        ++tallies[index].offered;
+        const TimePoint now = m_clock.now();
+        const AdmissionDecision decision = admission->offer(
+            {WorkspaceName(stream.workspace), stream.priority, stream.inProgress, now + stream.deadline});
+        if (decision.outcome == AdmissionOutcome::Refused) {
+            ++tallies[index].refused;
+            return;
+        }
+        m_requests[decision.ticket.value] = Request{index, now, now};
+        if (decision.outcome == AdmissionOutcome::Admitted) {
+            start(decision.ticket.value);
+        }
+    }
+
+    void start(std::uint64_t id)
+    {
+        Request &request = m_requests.at(id);
+        request.started = m_clock.now();
+        if (upstream.shedAbove > 0 && m_inside >= upstream.shedAbove) {
+            request.outcome = WorkOutcome::Overloaded;
+            schedule(std::chrono::milliseconds(1), Event::Finish, id);
+            return;
+        }
+        ++m_inside;
+        if (m_busy < upstream.slots) {
+            serve(id);
+        } else {
+            m_waitingInside.push_back(id);
+        }
+    }
+
+    void serve(std::uint64_t id)
+    {
+        ++m_busy;
+        const double excess = std::max(0.0, static_cast<double>(m_inside) / upstream.slots - 1);
+        const double mean = upstream.serviceSeconds * (1 + upstream.thrashing * excess);
+        const Duration fixed(static_cast<std::int64_t>(mean * (1 - upstream.variation) * 1e9));
+        schedule(fixed + exponential(mean * upstream.variation), Event::Finish, id);
+    }
+
+    void finish(std::uint64_t id)
+    {
+        const Request request = m_requests.at(id);
+        m_requests.erase(id);
+        const TimePoint now = m_clock.now();
+        if (request.outcome == WorkOutcome::Succeeded) {
+            --m_inside;
+            --m_busy;
+            const Duration time = now - request.offered;
+            if (time <= streams[request.stream].deadline) {
+                ++good;
+                Tally &tally = tallies[request.stream];
+                ++tally.good;
+                tally.longestTime = std::max(tally.longestTime, time);
+            }
+            if (!m_waitingInside.empty() && m_busy < upstream.slots) {
+                const std::uint64_t next = m_waitingInside.front();
+                m_waitingInside.pop_front();
+                serve(next);
+            }
+        }
+        admission->finish(TicketId{id}, request.outcome, now - request.started);
+    }
+
+    ManualClock m_clock;
+    SeededRandom m_random;
+    std::priority_queue<std::tuple<TimePoint, std::uint64_t, Event, std::uint64_t>,
+                        std::vector<std::tuple<TimePoint, std::uint64_t, Event, std::uint64_t>>,
+                        std::greater<>>
+        m_events;
+    std::uint64_t m_order = 0;
+    std::map<std::uint64_t, Request> m_requests;
+    std::deque<std::uint64_t> m_waitingInside;
+    int m_inside = 0;
+    int m_busy = 0;
+};
+
+} // namespace vanillatack
