--- /dev/null
+++ b/src/documents/internal/documentscontext.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "documents/documentssetup.h"
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace vanillatack {
+
+/// What the parts of the module share.
+struct DocumentsContext {
+    IClock &clock;
+    IRandom &random;
+    ITableService &table;
+    IObjectStore &objects;
+    IMessageSender &sender;
+    IDocumentPeers &peers;
+    NodeName self;
+    DocumentsSettings settings;
+    std::optional<TimePoint> lastPlatformAnswer = std::nullopt;
+    std::shared_ptr<char> alive = std::make_shared<char>();
+
+    /// The function for use as a completion; it does nothing once the context is gone.
+    template<class Function>
+    auto whileAlive(Function function)
+    {
+        return [token = std::weak_ptr(alive), function = std::move(function)](auto &&...arguments) {
+            if (!token.expired()) {
+                function(std::forward<decltype(arguments)>(arguments)...);
+            }
+        };
+    }
+
+    /// Takes note of an answer of the platform.
+    template<class Value>
+    void noteAnswer(const Result<Value> &result)
+    {
+        if (result.has_value()) {
+            lastPlatformAnswer = clock.now();
+        }
+    }
+
+    [[nodiscard]] std::int64_t wallMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count();
+    }
+
+    [[nodiscard]] bool isReader() const
+    {
+        return peers.isAmongLowest(settings.readersPerZone);
+    }
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/documents/internal/keydocument.cpp
@@ -0,0 +1,100 @@
+#include "documents/ikeyring.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace vanillatack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t DigestLength = 64;
+constexpr std::size_t LongestKeyId = 128;
+
+Error invalid(const std::string &message, const std::string &remedy)
+{
+    return makeError(ErrorKind::InvalidConfiguration, "The key document is not valid: " + message + ".", remedy);
+}
+
+// Throws when a member is absent or of another type; parseKeyDocument() turns that into an error.
+KeyRecord recordFrom(const Json &json)
+{
+    return {.id = KeyId(json.at("id").get<std::string>()),
+            .digest = json.at("digest").get<std::string>(),
+            .workspace = WorkspaceName(json.at("workspace").get<std::string>()),
+            .note = json.value("note", "")};
+}
+
+bool isDigest(const std::string &text)
+{
+    return text.size() == DigestLength && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+/// Ids become keys of rows and parts of log lines.
+bool isKeyId(const std::string &text)
+{
+    constexpr std::string_view Allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    return !text.empty() && text.size() <= LongestKeyId && text.find_first_not_of(Allowed) == std::string::npos;
+}
+
+Result<void> checkRecords(const std::vector<KeyRecord> &records)
+{
+    std::set<std::string> ids;
+    std::set<std::string> digests;
+    for (const KeyRecord &record : records) {
+        if (!isKeyId(record.id.value)) {
+            return invalid("the id \"" + record.id.value + "\" is not allowed",
+                           "Use up to 128 letters, digits, \"-\", \"_\" and \".\".");
+        }
+        if (!isDigest(record.digest)) {
+            return invalid("the digest of " + record.id.value + " is not SHA-256 in lower-case hexadecimal",
+                           "Grant the key anew with the tool.");
+        }
+        if (record.workspace.empty()) {
+            return invalid("the key " + record.id.value + " has no workspace", "Name its workspace.");
+        }
+        if (!ids.insert(record.id.value).second || !digests.insert(record.digest).second) {
+            return invalid("the id or digest of " + record.id.value + " occurs twice", "Remove one of the records.");
+        }
+    }
+    return success();
+}
+
+} // namespace
+
+std::string formatKeyDocument(const std::vector<KeyRecord> &records)
+{
+    Json keys = Json::array();
+    for (const KeyRecord &record : records) {
+        keys.push_back({{"id", record.id.value},
+                        {"digest", record.digest},
+                        {"workspace", record.workspace.value},
+                        {"note", record.note}});
+    }
+    // Notes are typed by operators; bytes that are not UTF-8 must not stop a key from being granted.
+    return Json{{"keys", keys}}.dump(1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+Result<std::vector<KeyRecord>> parseKeyDocument(std::string_view content)
+{
+    std::vector<KeyRecord> records;
+    try {
+        const Json json = Json::parse(content);
+        for (const Json &key : json.at("keys")) {
+            records.push_back(recordFrom(key));
+        }
+    } catch (const Json::exception &) {
+        // The parser's own message would quote the content.
+        return invalid("it is not JSON of the form {\"keys\": [{\"id\", \"digest\", \"workspace\", \"note\"}]}",
+                       "Change keys with the tool only.");
+    }
+    const Result<void> checked = checkRecords(records);
+    if (!checked) {
+        return checked.error();
+    }
+    return records;
+}
+
+} // namespace vanillatack
