--- a/src/documents/internal/withdrawalspread.cpp
+++ b/src/documents/internal/withdrawalspread.cpp
@@ -41,8 +41,7 @@
     m_received(message.keys);
     if (message.replyWanted && ready) {
         m_context.sender.send(
-            from,
-            WithdrawalSync{.sender = m_context.self, .replyWanted = false, .keys = missingIn(message.keys)});
+            from, WithdrawalSync{.sender = m_context.self, .replyWanted = false, .keys = missingIn(message.keys)});
     } else if (!message.replyWanted && m_asked == from) {
         m_heard = true;
     }
@@ -50,14 +49,14 @@
 
 void WithdrawalSpread::compare(const Endpoint &peer, const StateVersions &versions)
 {
-    if (versions.withdrawalCount == m_known.count() && versions.withdrawalHash == m_known.hash()) {
-        m_syncInterval = m_context.settings.syncInterval;
-        return;
-    }
     const TimePoint now = m_context.clock.now();
-    if (now < m_nextSyncAt) {
+    const bool equal = versions.withdrawalCount == m_known.count() && versions.withdrawalHash == m_known.hash();
+    if (equal || now < m_nextSyncAt) {
         return;
     }
+    if (now - m_nextSyncAt > LongestSyncInterval) {
+        m_syncInterval = m_context.settings.syncInterval; // A new difference.
+    }
     m_nextSyncAt = now + m_syncInterval;
     m_syncInterval = std::min<Duration>(2 * m_syncInterval, LongestSyncInterval);
     requestSet(peer);
