Pool small shares and lend single tokens

Cause: rate loans to nodes with little demand left the quota in full buckets; small workspaces lost 20 to 60% of the requests inside their rate, and owners exchanged hundreds of messages a second over parts of a request. Change: tokens without a rate below 5 requests/s, one collecting owner per workspace with small shares, whole shares pooled, demand estimate that ignores single arrivals and repeated attempts, idle loans returned at once.

--- a/src/quota/internal/demand.h
+++ b/src/quota/internal/demand.h
@@ -13,6 +13,11 @@
     /// Rate and bucket capacity that serve the demand with room for random arrivals.
     [[nodiscard]] QuotaAmount wanted(TimePoint now) const;
 
+    /// Time without requests after which the demand counts as gone.
+    [[nodiscard]] Duration idleLimit(TimePoint now) const;
+
+    [[nodiscard]] TimePoint countedAt() const;
+
 private:
     [[nodiscard]] double perSecond(TimePoint now) const;
 
--- a/src/quota/internal/quotaborrowing.cpp
+++ b/src/quota/internal/quotaborrowing.cpp
@@ -10,11 +10,13 @@
 
 constexpr std::chrono::milliseconds ShortestPause{10};
 constexpr std::chrono::milliseconds LongestPause{640};
+// The pause grows with the number of owners, which bounds the requests per second of an owner to all others.
+constexpr std::chrono::milliseconds LongestPausePerOwner{40};
 // While the pause is this short, the lender is probably still collecting from other owners.
 constexpr std::chrono::milliseconds HopefulPause{20};
 
-// A loan without demand for this long is returned when it is due for renewal.
-constexpr std::chrono::milliseconds IdleTime{500};
+// Below this wanted rate, tokens are asked for only when a request waits for one.
+constexpr std::int64_t PrefetchFrom = TokensPerRequest;
 
 // Tokens for this long are kept in stock; below, more are asked for.
 constexpr std::int64_t StockMilliseconds = 20;
@@ -48,6 +50,16 @@
     }
 }
 
+bool QuotaService::isIdle(const Workspace &workspace, TimePoint now) const
+{
+    return now - workspace.demand.countedAt() > workspace.demand.idleLimit(now);
+}
+
+Duration QuotaService::longestPause() const
+{
+    return std::min<Duration>(LongestPause, LongestPausePerOwner * static_cast<int>(m_owners.count()));
+}
+
 void QuotaService::borrowAsNode(Workspace &workspace, TimePoint now, Batches &batches)
 {
     const Owner *target = isPooled(workspace) ? m_owners.collector(workspace.name, now) : m_owners.home(now);
@@ -56,29 +68,32 @@
     }
     const NodeName lender = target->member.node;
     LoanBook &book = workspace.book;
-    auto held = book.heldLoans().find(lender);
-    if (held != book.heldLoans().end() && held->second.amount.rate == 0 && book.tokens() < TokensPerRequest) {
-        returnLoan(workspace, lender);
-        held = book.heldLoans().find(lender);
-    }
-    const QuotaAmount want = ownWant(workspace, now);
-    if (held == book.heldLoans().end() && (want.none() || now - workspace.lastDemand > IdleTime)) {
-        return;
-    }
+    const auto held = book.heldLoans().find(lender);
+    const bool holds = held != book.heldLoans().end();
+    const bool spent = holds && held->second.amount.rate == 0 && book.tokens() < TokensPerRequest;
     Ask &ask = workspace.asks[lender];
     if (ask.sequence != 0) {
         return;
     }
-    const bool due = held != book.heldLoans().end() && ask.renewAt <= now;
-    if (due && now - workspace.lastDemand > IdleTime && want.rate < 2 * TokensPerRequest) {
+    if (isIdle(workspace, now)) {
         returnLoan(workspace, lender);
         return;
     }
-    const QuotaAmount amount = held == book.heldLoans().end() ? QuotaAmount{} : held->second.amount;
-    const bool grown = want.rate > amount.rate + amount.rate / 2;
+    const QuotaAmount want = ownWant(workspace, now);
+    const bool due = holds && ask.renewAt <= now;
+    // Tokens that nobody took until then serve other nodes better.
+    const bool unspent = due && held->second.amount.rate == 0 && !spent;
+    const bool grown = want.rate > ask.amount.rate + ask.amount.rate / 2;
     const bool low = book.tokens() < std::max(TokensPerRequest, scaled(want.rate, StockMilliseconds, 1000));
-    if (due || ((grown || low) && ask.notBefore <= now)) {
+    const bool needed = workspace.waitingUntil > now || (want.rate >= PrefetchFrom && !ask.scarce);
+    if (needed && !unspent && (due || ((!holds || grown || low) && ask.notBefore <= now))) {
+        if (spent) {
+            // The request says that no loan is held, which gives the lender its capacity back.
+            book.giveUp(lender);
+        }
         addAsk(workspace, lender, want, now, batches);
+    } else if (spent || due) {
+        returnLoan(workspace, lender);
     }
 }
 
@@ -95,7 +110,8 @@
     }
     const QuotaAmount missing = want - total;
     // Small differences are left alone, since the estimate of the demand moves all the time.
-    if (missing.rate > want.rate / 16 || missing.burst > want.burst / 16) {
+    const std::int64_t least = isPooled(workspace) ? 0 : TokensPerRequest;
+    if (missing.rate > std::max(want.rate / 16, least) || missing.burst > std::max(want.burst / 16, least)) {
         collect(workspace, positive(missing), now, batches);
     }
     renewAsOwner(
@@ -120,7 +136,9 @@
         }
         const auto held = workspace.book.heldLoans().find(name);
         const QuotaAmount amount = held == workspace.book.heldLoans().end() ? QuotaAmount{} : held->second.amount;
-        const QuotaAmount extra = positive(lowerOf(lowerOf(missing, share), most - amount));
+        // Shares are pooled whole, because the rate of a share without its burst would be lost.
+        const QuotaAmount useful = isPooled(workspace) ? share : missing;
+        const QuotaAmount extra = positive(lowerOf(lowerOf(useful, share), most - amount));
         if (!extra.none()) {
             addAsk(workspace, name, amount + extra, now, batches);
             missing = positive(missing - extra);
@@ -135,13 +153,16 @@
     std::vector<NodeName> due;
     for (const auto &[lender, loan] : workspace.book.heldLoans()) {
         const Ask &ask = workspace.asks[lender];
-        if (ask.sequence == 0 && ask.renewAt <= now) {
+        const bool superfluous =
+            !surplus.none() && loan.amount.rate <= surplus.rate && loan.amount.burst <= surplus.burst;
+        if (ask.sequence == 0 && (ask.renewAt <= now || superfluous)) {
             due.push_back(lender);
         }
     }
     for (const NodeName &lender : due) {
         const QuotaAmount amount = workspace.book.heldLoans().at(lender).amount;
-        const QuotaAmount cut = lowerOf(amount, surplus);
+        const bool whole = isPooled(workspace) && (surplus.rate < amount.rate || surplus.burst < amount.burst);
+        const QuotaAmount cut = whole ? QuotaAmount{} : lowerOf(amount, surplus);
         const QuotaAmount left = amount - cut;
         surplus -= cut;
         if (isBelow(left, negligible)) {
@@ -168,7 +189,7 @@
             }
         }
         for (const auto &[lender, amount] : soon) {
-            if (!amount.none() && now - workspace.lastDemand < IdleTime) {
+            if (!amount.none() && (lends || !isIdle(workspace, now))) {
                 addAsk(workspace, lender, amount, now, batches);
             }
         }
@@ -214,16 +235,12 @@
     const auto held = workspace.book.heldLoans().find(lender);
     const LoanId loan = held == workspace.book.heldLoans().end() ? LoanId{} : held->second.loan;
     const bool lends = isLender(workspace, now);
-    const std::int64_t stock = lends ? 0 : workspace.book.tokens();
+    const std::int64_t tokens = lends ? amount.burst : amount.burst * 3 / 4 - workspace.book.tokens();
+    const std::int64_t least = workspace.book.tokens() < TokensPerRequest ? TokensPerRequest : 0;
     ask.sequence = UnsentSequence;
     ask.sentAt = now;
     ask.amount = amount;
-    batches[lender].push_back({workspace.name,
-                               amount.rate,
-                               amount.burst,
-                               std::max<std::int64_t>(0, amount.burst - stock),
-                               loan,
-                               Duration{0}});
+    batches[lender].push_back({workspace.name, amount.rate, amount.burst, std::max(least, tokens), loan, Duration{0}});
 }
 
 void QuotaService::sendBatches(Batches &batches, TimePoint now)
@@ -271,14 +288,17 @@
     ask.sequence = 0;
     const QuotaAmount amount{item.rate, item.burst};
     const TimePoint expiry = ask.sentAt + item.term;
+    ask.scarce = item.loan.value == 0 || (amount.rate == 0 && amount.burst <= TokensPerRequest);
     bool useful = false;
     if (item.loan.value != 0 && workspace.book.accept(lender, {item.loan, amount, amount, expiry}, item.tokens)) {
         ask.renewAt = now + (expiry - now) * m_renewalPercent / 100;
-        useful = workspace.book.tokens() >= TokensPerRequest || amount.rate >= ask.amount.rate - ask.amount.rate / 4;
+        const QuotaAmount mostOfAsked{ask.amount.rate - ask.amount.rate / 4, ask.amount.burst - ask.amount.burst / 4};
+        useful = amount.rate >= mostOfAsked.rate && amount.burst >= mostOfAsked.burst;
+        useful = useful || (!isLender(workspace, now) && workspace.book.tokens() >= TokensPerRequest);
     }
-    ask.pause = useful ? Duration(ShortestPause) : std::clamp<Duration>(ask.pause * 2, ShortestPause, LongestPause);
+    ask.pause = useful ? Duration(ShortestPause) : std::clamp<Duration>(ask.pause * 2, ShortestPause, longestPause());
     ask.notBefore = now + ask.pause;
-    notifyWaiting(workspace);
+    notifyWaiting(workspace, now);
 }
 
 void QuotaService::returnLoan(Workspace &workspace, const NodeName &lender)
--- a/src/quota/internal/quotalending.cpp
+++ b/src/quota/internal/quotalending.cpp
@@ -8,9 +8,13 @@
 
 constexpr Log QuotaLog("quota");
 
-// Loans of single tokens while the burst does not suffice for a bucket at each node. Longer than the round trip between
+// Of tokens while the burst does not suffice for a bucket at each node. Longer than the round trip between
 // regions, since the borrower counts from before its request.
-constexpr std::chrono::milliseconds TokenLoanTerm{400};
+constexpr std::chrono::milliseconds ScarceTokenTerm{400};
+
+// Below this rate a borrower gets tokens without a rate. The rate then refills the pool, where all borrowers can use
+// it, instead of buckets that are mostly full.
+constexpr std::int64_t RateLoanFrom = 5 * TokensPerRequest;
 
 // Terms tried in percent of the longest. Shorter ones fit under the ends of loans that this lender holds itself.
 constexpr int TermPercents[] = {100, 70, 45, 25};
@@ -138,6 +142,9 @@
     if (wanted.burst > total.burst) {
         fair.burst = std::max<std::int64_t>(0, scaled(total.burst, item.burst, wanted.burst));
     }
+    if (item.rate < RateLoanFrom || fair.burst < TokensPerRequest) {
+        return lendTokens(workspace, borrower, item, fair.burst < item.burst, now);
+    }
     QuotaAmount best;
     Duration bestTerm{0};
     for (const int percent : TermPercents) {
@@ -153,13 +160,32 @@
             break;
         }
     }
-    if (best.burst >= TokensPerRequest) {
-        return lend(workspace, borrower, best, item.tokens, bestTerm, now);
+    if (best.burst < TokensPerRequest) {
+        return lendTokens(workspace, borrower, item, true, now);
     }
-    // The burst does not suffice for a bucket at each node: lend single tokens that are used and returned.
-    const QuotaAmount free = workspace.book.available(borrower, lenderEnd(now, TokenLoanTerm));
-    if (free.burst >= TokensPerRequest && workspace.book.tokens() >= TokensPerRequest && item.tokens > 0) {
-        return lend(workspace, borrower, {0, TokensPerRequest}, TokensPerRequest, TokenLoanTerm, now);
+    // Borrowers fill their buckets to three quarters; this node's own demand gets as much.
+    const std::int64_t stock = workspace.book.tokens();
+    const std::int64_t spare = std::max(stock / 4, stock - ownWant(workspace, now).burst * 3 / 4);
+    return lend(workspace, borrower, best, std::min(item.tokens, spare), bestTerm, now);
+}
+
+/// Lends whole requests without a rate, one at a time when the burst is scarce.
+LoanItem QuotaService::lendTokens(Workspace &workspace,
+                                  const BorrowerKey &borrower,
+                                  const LoanItem &item,
+                                  bool scarce,
+                                  TimePoint now)
+{
+    const std::int64_t wanted = std::min(scarce ? TokensPerRequest : item.burst, workspace.book.tokens());
+    for (const Duration term : {m_settings.term / 2, Duration(ScarceTokenTerm)}) {
+        if (scarce && term > ScarceTokenTerm) {
+            continue;
+        }
+        const std::int64_t tokens = std::min(wanted, workspace.book.available(borrower, lenderEnd(now, term)).burst);
+        const std::int64_t whole = tokens - tokens % TokensPerRequest;
+        if (whole > 0 && item.tokens > 0) {
+            return lend(workspace, borrower, {0, whole}, whole, term, now);
+        }
     }
     return refusal(workspace.name);
 }
@@ -219,9 +245,13 @@
         }
         advance(workspace, now);
         if (workspace.book.takeBack(message.sender, message.loan, message.tokens)) {
-            // Forgotten soon, but not at once: a borrower that returns single tokens asks again.
-            want->second.at = std::min(want->second.at, now - m_settings.term * 3 / 4);
-            notifyWaiting(workspace);
+            if (want->second.amount.rate >= RateLoanFrom) {
+                workspace.wants.erase(want);
+            } else {
+                // Forgotten soon, but not at once: a borrower that returns spent tokens asks again.
+                want->second.at = std::min(want->second.at, now - m_settings.term * 3 / 4);
+            }
+            notifyWaiting(workspace, now);
             return;
         }
     }
--- a/src/quota/internal/quotaservice.cpp
+++ b/src/quota/internal/quotaservice.cpp
@@ -3,14 +3,26 @@
 #include "base/invariant.h"
 #include "base/log.h"
 
+#include <utility>
+
 namespace vanillatack {
 
 namespace {
 
 constexpr Log QuotaLog("quota");
 
-// An owner whose share of the burst is below this pools it with the shares of the others.
-constexpr std::int64_t PoolBelowTokens = 2 * TokensPerRequest;
+// Owners whose shares are below one of these pool them at one owner, since random arrivals at one of them would too
+// often exceed its share while others have tokens. The rate bounds the load of the collecting owner.
+constexpr QuotaAmount PoolBelow{4 * TokensPerRequest, 4 * TokensPerRequest};
+
+// A caller that was told that a loan is on its way is assumed to wait this long.
+constexpr std::chrono::milliseconds CallerPatience{60};
+
+// A request waits when the own bucket will have a token for it this soon; about one tick.
+constexpr std::chrono::milliseconds RefillPatience{50};
+
+// A waiting caller tries again this soon after it was told of tokens.
+constexpr std::chrono::milliseconds RetryTime{10};
 
 } // namespace
 
@@ -74,7 +86,8 @@
 bool QuotaService::isPooled(const Workspace &workspace) const
 {
     const auto owners = static_cast<std::int64_t>(m_owners.count());
-    return owners > 1 && workspace.fleet.burst / owners < PoolBelowTokens;
+    return owners > 1
+        && (workspace.fleet.rate / owners < PoolBelow.rate || workspace.fleet.burst / owners < PoolBelow.burst);
 }
 
 bool QuotaService::isLender(const Workspace &workspace, TimePoint now) const
@@ -107,10 +120,12 @@
     return LoanId{m_nextLoan++};
 }
 
-void QuotaService::notifyWaiting(Workspace &workspace)
+void QuotaService::notifyWaiting(Workspace &workspace, TimePoint now)
 {
-    if (workspace.waiting && workspace.book.tokens() >= TokensPerRequest) {
-        workspace.waiting = false;
+    if (workspace.waitingUntil > now && workspace.book.tokens() >= TokensPerRequest) {
+        workspace.waitingUntil = {};
+        workspace.retries = std::exchange(workspace.waiting, 0);
+        workspace.retriesUntil = now + RetryTime;
         m_listener.onTokens(workspace.name);
     }
 }
@@ -124,11 +139,17 @@
     const TimePoint now = m_clock.now();
     Workspace &workspace = found->second;
     advance(workspace, now);
-    workspace.demand.count(now);
-    workspace.lastDemand = now;
+    if (workspace.retries > 0 && now < workspace.retriesUntil) {
+        --workspace.retries;
+    } else {
+        workspace.demand.count(now);
+    }
     QuotaDecision decision;
     decision.admitted = workspace.book.take();
-    workspace.waiting = workspace.waiting || !decision.admitted;
+    if (!decision.admitted) {
+        workspace.waiting = workspace.waitingUntil > now ? workspace.waiting : 0;
+        workspace.waitingUntil = now + CallerPatience;
+    }
     if (workspace.book.tokens() < TokensPerRequest) {
         Batches batches;
         borrow(workspace, now, batches);
@@ -139,10 +160,12 @@
         return decision;
     }
     ++workspace.refused;
-    decision.borrowing = isLoanOnItsWay(workspace, now);
-    const std::int64_t missing = TokensPerRequest - workspace.book.tokens();
+    const std::int64_t missing = (workspace.waiting + 1) * TokensPerRequest - workspace.book.tokens();
     const std::int64_t rate = std::max(workspace.book.capacity().rate, workspace.fleet.rate / 100);
     decision.retryAfter = Duration(std::min(scaled(missing, 1'000'000'000, rate), std::int64_t{5'000'000'000}));
+    decision.borrowing = isLoanOnItsWay(workspace, now)
+        || (workspace.book.capacity().burst >= TokensPerRequest && decision.retryAfter < RefillPatience);
+    workspace.waiting += decision.borrowing ? 1 : 0;
     return decision;
 }
 
@@ -157,7 +180,7 @@
         });
         noteTimeouts(workspace, now);
         borrow(workspace, now, batches);
-        notifyWaiting(workspace);
+        notifyWaiting(workspace, now);
     }
     renewAlongside(now, batches);
     sendBatches(batches, now);
--- a/src/quota/internal/quotaservice.h
+++ b/src/quota/internal/quotaservice.h
@@ -44,6 +44,7 @@
         TimePoint notBefore; ///< Of the next request for a higher amount.
         Duration pause{0}; ///< Doubled each time the lender gives little.
         TimePoint renewAt; ///< Of the loan held.
+        bool scarce = false; ///< The lender had nothing or little to give.
     };
 
     /// What a borrower last asked for.
@@ -62,8 +63,10 @@
         Demand demand;
         std::map<NodeName, Ask> asks;
         std::map<NodeName, Want> wants;
-        TimePoint lastDemand;
-        bool waiting = false; ///< A request found no token since tokens last arrived.
+        TimePoint waitingUntil; ///< A caller probably waits for a token until then.
+        int waiting = 0; ///< Requests that were told to wait since tokens last arrived.
+        int retries = 0; ///< Of these requests after tokens arrived; not counted as demand again.
+        TimePoint retriesUntil;
         std::uint64_t admitted = 0;
         std::uint64_t refused = 0;
     };
@@ -77,7 +80,7 @@
     [[nodiscard]] bool isLender(const Workspace &workspace, TimePoint now) const;
     [[nodiscard]] QuotaAmount ownWant(const Workspace &workspace, TimePoint now) const;
     [[nodiscard]] QuotaAmount nodesWant(const Workspace &workspace, TimePoint now) const;
-    void notifyWaiting(Workspace &workspace);
+    void notifyWaiting(Workspace &workspace, TimePoint now);
     LoanId newLoan();
 
     // ---- borrower
@@ -93,6 +96,8 @@
     void returnLoan(Workspace &workspace, const NodeName &lender);
     void sendBatches(Batches &batches, TimePoint now);
     void acceptItem(const NodeName &lender, std::uint64_t sequence, const LoanItem &item, TimePoint now);
+    [[nodiscard]] bool isIdle(const Workspace &workspace, TimePoint now) const;
+    [[nodiscard]] Duration longestPause() const;
     [[nodiscard]] Duration answerTimeout(const NodeName &lender) const;
     [[nodiscard]] bool isLoanOnItsWay(const Workspace &workspace, TimePoint now) const;
 
@@ -101,6 +106,8 @@
     bool takeRequestAllowance(TimePoint now);
     LoanItem serve(const BorrowRequest &message, const LoanItem &item, TimePoint now);
     LoanItem serveNode(Workspace &workspace, const BorrowerKey &borrower, const LoanItem &item, TimePoint now);
+    LoanItem
+    lendTokens(Workspace &workspace, const BorrowerKey &borrower, const LoanItem &item, bool scarce, TimePoint now);
     LoanItem serveOwner(Workspace &workspace, const BorrowerKey &borrower, const LoanItem &item, TimePoint now);
     LoanItem lend(Workspace &workspace,
                   const BorrowerKey &borrower,
--- a/src/quota/tests/fakefleet.cpp
+++ b/src/quota/tests/fakefleet.cpp
@@ -3,6 +3,7 @@
 #include "base/invariant.h"
 
 #include <cmath>
+#include <utility>
 
 namespace vanillatack {
 
@@ -89,12 +90,6 @@
 };
 
 struct FakeFleet::Node final : IMessageSender, IQuotaListener {
-    struct Caller {
-        WorkspaceName workspace;
-        TimePoint until;
-        bool centralAdmits = false;
-    };
-
     FakeFleet *fleet = nullptr;
     int index = 0;
     Member member;
@@ -112,10 +107,10 @@
         fleet->deliver(index, to, message);
     }
 
-    void onTokens(const WorkspaceName & /*workspace*/) override
+    void onTokens(const WorkspaceName &workspace) override
     {
-        fleet->at(fleet->now(), [this] {
-            fleet->retryWaiting(*this);
+        fleet->at(fleet->now(), [=, this] {
+            fleet->retryWaiting(*this, workspace);
         });
     }
 };
@@ -233,7 +228,7 @@
     if (node.pausedUntil <= now()) {
         node.quota->setOwners(ownersFor(index));
         node.quota->tick();
-        retryWaiting(node);
+        dropCallers(node);
     }
     at(now() + TickInterval - Duration(static_cast<std::int64_t>(m_random.below(5'000'000))), [=, this] {
         tick(index, incarnation);
@@ -305,34 +300,56 @@
     ++reference.figures.arrivals;
     const bool centralAdmits = reference.central.tryTake(now());
     reference.figures.central += centralAdmits ? 1 : 0;
-    node.callers.push_back({workspace, now() + m_options.callerWait, centralAdmits});
-    retryWaiting(node);
+    Caller caller{workspace, now() + m_options.callerWait, centralAdmits};
+    if (node.pausedUntil > now() || !attempt(node, caller)) {
+        node.callers.push_back(caller);
+        at(caller.until, [&, this] {
+            dropCallers(node);
+        });
+    }
+}
+
+/// True when the caller is done, admitted or not.
+bool FakeFleet::attempt(Node &node, const Caller &caller)
+{
+    Reference &reference = *m_references.at(caller.workspace);
+    const QuotaDecision decision = node.quota->tryAcquire(caller.workspace);
+    if (decision.admitted) {
+        reference.bound.take(now());
+        ++reference.figures.admitted;
+        return true;
+    }
+    if (decision.borrowing) {
+        return false;
+    }
+    reference.figures.refusedInside += caller.centralAdmits ? 1 : 0;
+    return true;
 }
 
-void FakeFleet::retryWaiting(Node &node)
+void FakeFleet::retryWaiting(Node &node, const WorkspaceName &workspace)
 {
     if (node.pausedUntil > now()) {
         return;
     }
-    std::set<WorkspaceName> empty;
-    for (std::size_t left = node.callers.size(); left > 0; --left) {
-        const Node::Caller caller = node.callers.front();
-        node.callers.pop_front();
-        Reference &reference = *m_references.at(caller.workspace);
-        QuotaDecision decision{.borrowing = true};
-        if (!empty.contains(caller.workspace)) {
-            decision = node.quota->tryAcquire(caller.workspace);
-        }
-        if (decision.admitted) {
-            reference.bound.take(now());
-            ++reference.figures.admitted;
-        } else if (decision.borrowing && now() < caller.until) {
-            empty.insert(caller.workspace);
-            node.callers.push_back(caller);
-        } else {
-            reference.figures.refusedInside += caller.centralAdmits ? 1 : 0;
+    std::deque<Caller> left;
+    for (const Caller &caller : std::exchange(node.callers, {})) {
+        if (caller.workspace != workspace || !attempt(node, caller)) {
+            left.push_back(caller);
         }
     }
+    node.callers = std::move(left);
+}
+
+void FakeFleet::dropCallers(Node &node)
+{
+    if (node.pausedUntil > now()) {
+        return; // These callers try once more when the node goes on.
+    }
+    std::erase_if(node.callers, [&](const Caller &caller) {
+        const bool gone = caller.until <= now();
+        m_references.at(caller.workspace)->figures.refusedInside += gone && caller.centralAdmits ? 1 : 0;
+        return gone;
+    });
 }
 
 void FakeFleet::deliver(int from, const Endpoint &to, const ControlMessage &message)
@@ -378,7 +395,14 @@
 
 void FakeFleet::pause(int node, Duration duration)
 {
-    m_nodes[static_cast<std::size_t>(node)]->pausedUntil = now() + duration;
+    Node &paused = *m_nodes[static_cast<std::size_t>(node)];
+    paused.pausedUntil = now() + duration;
+    at(paused.pausedUntil, [&, this] {
+        for (const auto &[workspace, reference] : m_references) {
+            retryWaiting(paused, workspace);
+        }
+        dropCallers(paused);
+    });
 }
 
 void FakeFleet::stop(int node)
--- a/src/quota/tests/fakefleet.h
+++ b/src/quota/tests/fakefleet.h
@@ -93,13 +93,21 @@
     TimePoint now() const;
 
 private:
+    struct Caller {
+        WorkspaceName workspace;
+        TimePoint until;
+        bool centralAdmits = false;
+    };
+
     struct Node;
     struct Reference;
 
     void at(TimePoint time, std::function<void()> action);
     void deliver(int from, const Endpoint &to, const ControlMessage &message);
     void arrive(int node, const WorkspaceName &workspace, std::uint64_t demandEpoch);
-    void retryWaiting(Node &node);
+    bool attempt(Node &node, const Caller &caller);
+    void retryWaiting(Node &node, const WorkspaceName &workspace);
+    void dropCallers(Node &node);
     void admit(const WorkspaceName &workspace);
     void start(int node);
     void tick(int node, std::uint64_t incarnation);
