--- /dev/null
+++ b/src/burn/burncollection.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/error.h"
+#include "burn/iburncounters.h"
+
+#include <compare>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillatack {
+
+/// Who counted: one run of a node. The incarnation is the one at the start of the process; the incarnation of a member
+/// entry rises while the process runs, and using it would count a node's minutes twice.
+struct BurnSource {
+    ZoneName zone;
+    NodeName node;
+    std::uint64_t startIncarnation = 0;
+
+    auto operator<=>(const BurnSource &) const = default; // NOLINT(modernize-use-nullptr): see model/ids.h
+};
+
+struct BurnKey {
+    std::int64_t minute = 0;
+    RouteName route;
+    WorkspaceName workspace;
+
+    auto operator<=>(const BurnKey &) const = default; // NOLINT(modernize-use-nullptr): see model/ids.h
+};
+
+struct BurnCounts {
+    std::uint64_t good = 0;
+    std::uint64_t bad = 0;
+    std::map<RefusalKind, std::uint64_t> refusals; ///< Bad requests by kind; their sum is bad.
+
+    bool operator==(const BurnCounts &) const = default;
+};
+
+/// Buckets of many nodes. The counts of one source and key only grow at the node, so merging takes the larger of two
+/// values: merging is associative, commutative and idempotent, and a node collected twice counts once.
+class BurnCollection
+{
+public:
+    void add(const BurnSource &source, const BurnBucket &bucket);
+    void add(const BurnSource &source, const std::vector<BurnBucket> &buckets);
+    void merge(const BurnCollection &other);
+
+    /// Removes all minutes before the given one, and sources that have none left.
+    void dropBefore(std::int64_t minute);
+
+    /// Sums over all sources, ordered by minute, route and workspace.
+    [[nodiscard]] std::vector<BurnBucket> totals() const;
+
+    [[nodiscard]] const std::map<BurnSource, std::map<BurnKey, BurnCounts>> &sources() const
+    {
+        return m_sources;
+    }
+
+    bool operator==(const BurnCollection &) const = default;
+
+private:
+    std::map<BurnSource, std::map<BurnKey, BurnCounts>> m_sources;
+};
+
+/// Compact JSON of a collection, for the admin interface and the table (docs/admin-protocol.md).
+std::string formatBurnCollection(const BurnCollection &collection);
+
+/// Reads formatBurnCollection(). Refusal kinds that this version does not know count as None.
+/// Errors: InvalidMessage.
+Result<BurnCollection> parseBurnCollection(std::string_view text);
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/burn/internal/burncollection.cpp
@@ -0,0 +1,189 @@
+#include "burn/burncollection.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int FormatVersion = 1;
+
+void raise(BurnCounts &counts, const BurnCounts &other)
+{
+    counts.good = std::max(counts.good, other.good);
+    counts.bad = std::max(counts.bad, other.bad);
+    for (const auto &[kind, count] : other.refusals) {
+        std::uint64_t &own = counts.refusals[kind];
+        own = std::max(own, count);
+    }
+}
+
+// Positions of names in a list, so that a name is written once.
+template<class Id>
+class NameList
+{
+public:
+    std::size_t indexOf(const Id &name)
+    {
+        const auto [entry, added] = m_index.try_emplace(name, m_names.size());
+        if (added) {
+            m_names.push_back(name.value);
+        }
+        return entry->second;
+    }
+
+    [[nodiscard]] const json &names() const
+    {
+        return m_names;
+    }
+
+private:
+    std::map<Id, std::size_t> m_index;
+    json m_names = json::array();
+};
+
+std::uint64_t countFrom(const json &value)
+{
+    // A negative number would be converted to a huge one.
+    if (!value.is_number_unsigned()) {
+        throw json::other_error::create(501, "a count is not a whole number of at least 0", &value);
+    }
+    return value.get<std::uint64_t>();
+}
+
+BurnBucket bucketFrom(const json &row, const json &routes, const json &workspaces)
+{
+    BurnBucket bucket;
+    bucket.minute = static_cast<std::int64_t>(countFrom(row.at(0)));
+    bucket.route = RouteName(routes.at(countFrom(row.at(1))).get<std::string>());
+    bucket.workspace = WorkspaceName(workspaces.at(countFrom(row.at(2))).get<std::string>());
+    bucket.good = countFrom(row.at(3));
+    bucket.bad = countFrom(row.at(4));
+    if (row.size() > 5) {
+        for (const auto &[name, count] : row.at(5).get_ref<const json::object_t &>()) {
+            bucket.refusals[RefusalKindNames.value(name).value_or(RefusalKind::None)] += countFrom(count);
+        }
+    }
+    return bucket;
+}
+
+BurnCollection collectionFrom(const json &document)
+{
+    if (document.at("format") != FormatVersion) {
+        throw json::other_error::create(501, "the format version is not known", &document);
+    }
+    BurnCollection collection;
+    for (const json &item : document.at("sources")) {
+        const BurnSource source{ZoneName(item.at("zone").get<std::string>()),
+                                NodeName(item.at("node").get<std::string>()),
+                                countFrom(item.at("start"))};
+        for (const json &row : item.at("buckets")) {
+            collection.add(source, bucketFrom(row, document.at("routes"), document.at("workspaces")));
+        }
+    }
+    return collection;
+}
+
+} // namespace
+
+void BurnCollection::add(const BurnSource &source, const BurnBucket &bucket)
+{
+    const BurnKey key{bucket.minute, bucket.route, bucket.workspace};
+    raise(m_sources[source][key], {bucket.good, bucket.bad, bucket.refusals});
+}
+
+void BurnCollection::add(const BurnSource &source, const std::vector<BurnBucket> &buckets)
+{
+    for (const BurnBucket &bucket : buckets) {
+        add(source, bucket);
+    }
+}
+
+void BurnCollection::merge(const BurnCollection &other)
+{
+    for (const auto &[source, counts] : other.m_sources) {
+        auto &own = m_sources[source];
+        for (const auto &[key, value] : counts) {
+            raise(own[key], value);
+        }
+    }
+}
+
+void BurnCollection::dropBefore(std::int64_t minute)
+{
+    for (auto &[source, counts] : m_sources) {
+        counts.erase(counts.begin(), counts.lower_bound(BurnKey{minute, {}, {}}));
+    }
+    std::erase_if(m_sources, [](const auto &entry) {
+        return entry.second.empty();
+    });
+}
+
+std::vector<BurnBucket> BurnCollection::totals() const
+{
+    std::map<BurnKey, BurnCounts> sums;
+    for (const auto &[source, counts] : m_sources) {
+        for (const auto &[key, value] : counts) {
+            BurnCounts &sum = sums[key];
+            sum.good += value.good;
+            sum.bad += value.bad;
+            for (const auto &[kind, count] : value.refusals) {
+                sum.refusals[kind] += count;
+            }
+        }
+    }
+    std::vector<BurnBucket> buckets;
+    buckets.reserve(sums.size());
+    for (auto &[key, sum] : sums) {
+        buckets.push_back({key.minute, key.route, key.workspace, sum.good, sum.bad, std::move(sum.refusals)});
+    }
+    return buckets;
+}
+
+std::string formatBurnCollection(const BurnCollection &collection)
+{
+    NameList<RouteName> routes;
+    NameList<WorkspaceName> workspaces;
+    json sources = json::array();
+    for (const auto &[source, counts] : collection.sources()) {
+        json rows = json::array();
+        for (const auto &[key, value] : counts) {
+            json row = {
+                key.minute, routes.indexOf(key.route), workspaces.indexOf(key.workspace), value.good, value.bad};
+            json refusals = json::object();
+            for (const auto &[kind, count] : value.refusals) {
+                refusals[std::string(RefusalKindNames.name(kind))] = count;
+            }
+            if (!refusals.empty()) {
+                row.push_back(std::move(refusals));
+            }
+            rows.push_back(std::move(row));
+        }
+        sources.push_back({{"zone", source.zone.value},
+                           {"node", source.node.value},
+                           {"start", source.startIncarnation},
+                           {"buckets", std::move(rows)}});
+    }
+    const json document = {{"format", FormatVersion},
+                           {"routes", routes.names()},
+                           {"workspaces", workspaces.names()},
+                           {"sources", std::move(sources)}};
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<BurnCollection> parseBurnCollection(std::string_view text)
+{
+    try {
+        return collectionFrom(json::parse(text));
+    } catch (const json::exception &exception) {
+        return makeError(ErrorKind::InvalidMessage,
+                         std::string("The burn buckets cannot be read: ") + exception.what() + ".",
+                         "Check that the node and the tool have the same version.");
+    }
+}
+
+} // namespace vanillatack
--- a/src/statechart/tests/statechart_tests.cpp
+++ b/src/statechart/tests/statechart_tests.cpp
@@ -97,7 +97,7 @@
 
 // Guards against the upstream's announcements, one a second, ending a drain by the operator. Checked over random
 // sequences: from the operator's drain on, the state changes by the operator only.
-TEST(UpstreamChart, onlyTheOperatorEndsHisDrain)
+TEST(UpstreamChart, onlyTheOperatorEndsTheOperatorDrain)
 {
     SeededRandom random(11);
     const StateChart &chart = builtIn.charts.at("upstream");
