Make the concurrency limit robust against noise and stale baselines

Cause: short windows right after a step hold only fast work, so the baseline fell below the true latency and the limit followed; few samples gave false speed-ups; the limit went on rising on a baseline that mixed latencies from before and after a speed-up. Change: windows wait two latencies after large steps and end when their finding is significant; the baseline is averaged over probes; a clear speed-up ends a probe and restores the limit; no rise until the next probe after a speed-up.

--- a/src/admission/internal/concurrencylimit.cpp
+++ b/src/admission/internal/concurrencylimit.cpp
@@ -11,11 +11,14 @@
 
 /// Mean latency over baseline that the limit settles at. Lower values lose throughput to noise, higher ones let more
 /// requests wait inside the upstream, where classes do not count.
-constexpr double LatencyTolerance = 1.07;
+constexpr double LatencyTolerance = 1.06;
 constexpr double ProbeTolerance = 1.2;
 constexpr double ProbeStep = 0.75;
+constexpr double Unchanged = 0.1; // Differences of latency up to this are taken for noise.
 /// Two steps lower concurrency to 0.56. Latency that stays above this share is not caused by concurrency.
 constexpr double UnresponsiveShare = 0.8;
+/// A step cannot lower latency by this much unless the upstream becomes faster at the same time.
+constexpr double SpeedUpShare = 0.45;
 constexpr double SignificantErrors = 2.5; // Standard errors of the mean.
 constexpr double ProbeError = 0.03; // Standard error over mean.
 
@@ -23,7 +26,7 @@
 constexpr double ProbeIntervalLatencies = 30; // Keeps the time spent in probes below a tenth for slow upstreams.
 constexpr int ProbeIntervalDurations = 20;
 constexpr Duration FirstProbeDelay = 1s;
-constexpr Duration SteadyDelay = 250ms;
+constexpr Duration SteadyDelay = 150ms;
 constexpr Duration ShortestWindow = 50ms;
 constexpr Duration LongestWindow = 1s;
 constexpr Duration LongestProbeWindow = 250ms;
@@ -39,7 +42,7 @@
 /// Baseline errors of a few percent would otherwise hold the limit below the capacity while requests wait.
 constexpr double RiseWhenUnclear = 0.01;
 constexpr double RiseGrowth = 1.5;
-constexpr double LongestRise = 0.5;
+constexpr double LongestRise = 0.25;
 constexpr double StepDown = 0.9;
 constexpr double GradientFloor = 0.8; // Of the limit after the last probe.
 constexpr double UsedShare = 0.9;
@@ -84,6 +87,7 @@
     m_rise = FirstRise;
     m_baseline = 0;
     m_baselineProbes = 0;
+    m_baselineUnsteady = false;
     m_latency = 0;
     m_coldCap = std::max(m_lowest, m_slots / ColdDivisor);
     m_coldCapSince = now;
@@ -140,7 +144,7 @@
 bool ConcurrencyLimit::windowComplete(TimePoint now) const
 {
     const Duration elapsed = now - m_window.start();
-    if (elapsed < std::max(ShortestWindow, fromSeconds(m_latency / 2))) {
+    if (elapsed < std::max(ShortestWindow, fromSeconds(m_latency))) {
         return false;
     }
     const Duration severalLatencies = fromSeconds(LongestWindowLatencies * m_latency);
@@ -150,6 +154,9 @@
     if (m_window.samples() < FewestSamples || m_latency == 0) {
         return false;
     }
+    if (m_window.mean() + SignificantErrors * m_window.standardError() < SpeedUpShare * m_latency) {
+        return true;
+    }
     if (!m_probing) {
         return finding() != Finding::Unclear;
     }
@@ -159,11 +166,14 @@
 
 ConcurrencyLimit::Finding ConcurrencyLimit::finding() const
 {
-    const double margin = SignificantErrors * m_window.standardError();
-    if (m_window.mean() + margin < LatencyTolerance * m_baseline) {
+    // A wrong step up is cheaper than a wrong step down: the next windows correct it while all slots are used.
+    constexpr double RoomErrors = 1;
+    const double error = m_window.standardError();
+    if (m_window.mean() + RoomErrors * error < LatencyTolerance * m_baseline) {
         return Finding::Room;
     }
-    return m_window.mean() - margin > LatencyTolerance * m_baseline ? Finding::Crowded : Finding::Unclear;
+    return m_window.mean() - SignificantErrors * error > LatencyTolerance * m_baseline ? Finding::Crowded
+                                                                                       : Finding::Unclear;
 }
 
 void ConcurrencyLimit::evaluate(TimePoint now)
@@ -208,21 +218,29 @@
 void ConcurrencyLimit::updateBaseline(TimePoint now, bool loaded)
 {
     constexpr double FullWeightSamples = 200;
+    // Few samples of a skewed distribution look more certain than they are.
+    constexpr double ClearlyFaster = 0.6;
     const double mean = m_window.mean();
+    const double faster = m_window.samples() >= FewestProbeSamples ? 1 - Unchanged : ClearlyFaster;
     if (m_baseline == 0) {
         m_baseline = mean;
-    } else if (mean + SignificantErrors * m_window.standardError() < m_baseline) {
-        // The upstream has become faster. This window may mix old and new latencies, so a probe follows when latencies
-        // are steady again.
-        m_baseline = mean;
-        m_baselineProbes = 0;
-        m_nextProbe = now + std::max(SteadyDelay, fromSeconds(2 * mean));
+    } else if (mean + SignificantErrors * m_window.standardError() < m_baseline * faster) {
+        noteSpeedUp(now, mean);
     } else if (!loaded) {
         // Not the minimum of the means: that would be below the true latency by their noise.
         m_baseline += m_window.samples() / (m_window.samples() + FullWeightSamples) * (mean - m_baseline);
     }
 }
 
+void ConcurrencyLimit::noteSpeedUp(TimePoint now, double mean)
+{
+    // This window may mix old and new latencies, so a probe follows when latencies are steady again.
+    m_baseline = mean;
+    m_baselineProbes = 0;
+    m_baselineUnsteady = true;
+    m_nextProbe = now + std::max(SteadyDelay, fromSeconds(2 * mean));
+}
+
 void ConcurrencyLimit::followGradient(TimePoint now)
 {
     if (m_nextProbe == TimePoint()) {
@@ -254,6 +272,9 @@
         m_rise = std::min(m_rise, FirstRise);
         return std::max(StepDown, LatencyTolerance * m_baseline / mean);
     }
+    if (m_baselineUnsteady) {
+        return 1;
+    }
     if (!m_window.waited() && m_window.peakRunning() < UsedShare * m_limit) {
         return 1; // An unused limit says nothing about the upstream.
     }
@@ -279,6 +300,7 @@
 void ConcurrencyLimit::startProbe(TimePoint now, double mean)
 {
     m_probing = true;
+    m_baselineUnsteady = false;
     m_probe.started = now;
     m_probe.limitBefore = m_limit;
     m_probe.runningBefore = m_window.meanRunning(now);
@@ -288,10 +310,16 @@
 
 void ConcurrencyLimit::stepProbe(TimePoint now, double mean, double error)
 {
-    constexpr double Unchanged = 0.1;
     constexpr int MostBaselineProbes = 4;
     m_probe.latencies.push_back(mean);
     const std::size_t last = m_probe.latencies.size() - 1;
+    if (mean < SpeedUpShare * m_probe.latencies[last - 1]) {
+        noteSpeedUp(now, mean);
+        m_probing = false;
+        m_rise = FirstRise;
+        setLimit(std::max(m_limit, m_probe.limitBefore));
+        return;
+    }
     const bool lower = mean + SignificantErrors * error < m_baseline && mean < m_baseline * (1 - Unchanged);
     if (limit() <= m_lowest) {
         m_baseline = mean;
@@ -351,10 +379,13 @@
 
 void ConcurrencyLimit::beginWindow(TimePoint now)
 {
-    // Work that started under the previous limit is still finishing for about one latency; in a probe it would hide the
-    // response. The baseline bounds the delay after a stall.
+    // Work that started under the previous limit goes on finishing for some latencies, and after a step up the first
+    // new work to finish is the fast part. The baseline bounds the delay after a stall.
     constexpr double LongestSettle = 4;
-    const double settle = std::min(m_latency, LongestSettle * m_baseline) * (m_probing ? 2 : 1);
+    constexpr double LargeStep = 0.1;
+    const bool largeStep = std::abs(m_limit - m_windowLimit) > LargeStep * m_windowLimit;
+    const double settle = std::min(m_latency * (largeStep ? 2 : 1), LongestSettle * m_baseline);
+    m_windowLimit = m_limit;
     m_window.restart(now + fromSeconds(settle), m_running);
 }
 
--- a/src/admission/internal/concurrencylimit.h
+++ b/src/admission/internal/concurrencylimit.h
@@ -53,6 +53,7 @@
     void evaluate(TimePoint now);
     bool lowerForErrors();
     void updateBaseline(TimePoint now, bool loaded);
+    void noteSpeedUp(TimePoint now, double mean);
     void followGradient(TimePoint now);
     double gradientFactor(double mean);
     void raiseColdCap(TimePoint now);
@@ -69,8 +70,10 @@
     double m_limit = InitialLimit;
     double m_baseline = 0;
     int m_baselineProbes = 0; ///< Probes that have confirmed the baseline.
+    bool m_baselineUnsteady = false; ///< The upstream has just become faster; the limit does not rise before a probe.
     double m_latency = 0;
     LatencyWindow m_window;
+    double m_windowLimit = 0; ///< The limit when the window began.
     TimePoint m_nextProbe;
     double m_rise = 0.04; ///< Next step up, as a share of the limit.
     bool m_learned = false; ///< A probe has completed, so announced slots no longer matter.
