--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Log log("admission");
+constexpr Log AdmissionLog("admission");
 
 constexpr Duration ShortestRetryAfter = 100ms;
 constexpr Duration LongestRetryAfter = 5s;
@@ -88,8 +88,8 @@
 {
     const TimePoint now = m_clock.now();
     if (m_running.erase(ticket) == 0) {
-        log.error("A request was finished that does not run. Report this as a fault.",
-                  {{"ticket", std::to_string(ticket.value)}});
+        AdmissionLog.error("A request was finished that does not run. Report this as a fault.",
+                           {{"ticket", std::to_string(ticket.value)}});
         return;
     }
     m_limit.recordRunning(now, running());
--- a/src/admission/internal/concurrencylimit.cpp
+++ b/src/admission/internal/concurrencylimit.cpp
@@ -11,7 +11,9 @@
 
 /// Mean latency over baseline that the limit settles at. Lower values lose throughput to noise, higher ones let more
 /// requests wait inside the upstream, where classes do not count.
-constexpr double LatencyTolerance = 1.06;
+constexpr double LatencyTolerance = 1.05;
+/// On top of the tolerance one request may wait, or small limits would lose a large share of their throughput to noise.
+constexpr double WaitingAllowed = 1;
 constexpr double ProbeTolerance = 1.2;
 constexpr double ProbeStep = 0.75;
 constexpr double Unchanged = 0.1; // Differences of latency up to this are taken for noise.
@@ -36,7 +38,7 @@
 
 /// Steps up start small, since the upstream may be close to its capacity, and grow by half with each window that finds
 /// room, so that a limit far too low recovers within 2 s.
-constexpr double FirstRise = 0.04;
+constexpr double FirstRise = 0.02;
 constexpr double RiseAfterSpeedUp = 0.15;
 constexpr double FirstRiseAfterOverload = 0.01; // Overload is refused work, which costs more than waiting.
 /// Baseline errors of a few percent would otherwise hold the limit below the capacity while requests wait.
@@ -151,29 +153,36 @@
     if (elapsed >= std::max(LongestWindow, severalLatencies)) {
         return true;
     }
-    if (m_window.samples() < FewestSamples || m_latency == 0) {
+    if (m_window.samples() < FewestSamples) {
         return false;
     }
+    if (m_latency == 0) {
+        return true;
+    }
     if (m_window.mean() + SignificantErrors * m_window.standardError() < SpeedUpShare * m_latency) {
         return true;
     }
-    if (!m_probing) {
+    if (!m_probing && m_baseline > 0) {
         return finding() != Finding::Unclear;
     }
     return m_window.standardError() <= ProbeError * m_window.mean()
         || (m_window.samples() >= FewestProbeSamples && elapsed >= std::max(LongestProbeWindow, severalLatencies));
 }
 
+double ConcurrencyLimit::tolerance() const
+{
+    return LatencyTolerance + WaitingAllowed / m_limit;
+}
+
 ConcurrencyLimit::Finding ConcurrencyLimit::finding() const
 {
     // A wrong step up is cheaper than a wrong step down: the next windows correct it while all slots are used.
     constexpr double RoomErrors = 1;
     const double error = m_window.standardError();
-    if (m_window.mean() + RoomErrors * error < LatencyTolerance * m_baseline) {
+    if (m_window.mean() + RoomErrors * error < tolerance() * m_baseline) {
         return Finding::Room;
     }
-    return m_window.mean() - SignificantErrors * error > LatencyTolerance * m_baseline ? Finding::Crowded
-                                                                                       : Finding::Unclear;
+    return m_window.mean() - SignificantErrors * error > tolerance() * m_baseline ? Finding::Crowded : Finding::Unclear;
 }
 
 void ConcurrencyLimit::evaluate(TimePoint now)
@@ -225,7 +234,8 @@
     if (m_baseline == 0) {
         m_baseline = mean;
     } else if (mean + SignificantErrors * m_window.standardError() < m_baseline * faster) {
-        noteSpeedUp(now, mean);
+        // This window was chosen because it is low, so its mean is more likely too low than too high.
+        noteSpeedUp(now, mean + m_window.standardError());
     } else if (!loaded) {
         // Not the minimum of the means: that would be below the true latency by their noise.
         m_baseline += m_window.samples() / (m_window.samples() + FullWeightSamples) * (mean - m_baseline);
@@ -249,7 +259,8 @@
     const double mean = m_window.mean();
     const double factor = gradientFactor(mean);
     const bool muchSlower = mean - SignificantErrors * m_window.standardError() > ProbeTolerance * m_baseline;
-    const bool probeDue = now >= m_nextProbe && m_coldCap == 0;
+    // A probe makes requests wait, and a limit that makes none wait needs no check.
+    const bool probeDue = now >= m_nextProbe && m_coldCap == 0 && m_window.waited();
     if (muchSlower || probeDue || m_limit * factor < m_probeFloor) {
         startProbe(now, mean);
         return;
@@ -270,9 +281,9 @@
         return m_window.waited() ? 1 + RiseWhenUnclear : 1;
     case Finding::Crowded:
         m_rise = std::min(m_rise, FirstRise);
-        return std::max(StepDown, LatencyTolerance * m_baseline / mean);
+        return std::max(StepDown, tolerance() * m_baseline / mean);
     }
-    if (m_baselineUnsteady) {
+    if (m_baselineUnsteady || m_coldCap > 0) {
         return 1;
     }
     if (!m_window.waited() && m_window.peakRunning() < UsedShare * m_limit) {
@@ -285,16 +296,18 @@
 
 void ConcurrencyLimit::raiseColdCap(TimePoint now)
 {
-    if (m_coldCap == 0 || now - m_coldCapSince < ColdDoubling || m_limit < UsedShare * m_coldCap) {
+    const bool used = m_window.waited() || m_window.peakRunning() >= UsedShare * m_limit;
+    if (m_coldCap == 0 || now - m_coldCapSince < ColdDoubling || !used) {
         return;
     }
-    m_coldCap *= 2;
-    m_coldCapSince = now;
-    const int top = m_slots > 0 ? m_slots : m_highest;
+    const double top = m_slots > 0 ? m_slots : m_highest;
     if (m_coldCap >= top) {
         m_coldCap = 0;
+        return;
     }
-    setLimit(m_coldCap == 0 ? top : m_coldCap);
+    m_coldCap = std::min(top, 2.0 * limit());
+    m_coldCapSince = now;
+    setLimit(m_coldCap);
 }
 
 void ConcurrencyLimit::startProbe(TimePoint now, double mean)
@@ -321,23 +334,22 @@
         return;
     }
     const bool lower = mean + SignificantErrors * error < m_baseline && mean < m_baseline * (1 - Unchanged);
-    if (limit() <= m_lowest) {
-        m_baseline = mean;
-        m_baselineProbes = 0;
-        endProbe(now, mean);
-    } else if (lower) {
-        // The baseline itself was taken under load, or the upstream has become faster.
-        m_baseline = mean;
-        m_baselineProbes = 0;
-        setLimit(m_limit * ProbeStep);
-    } else if (mean <= m_baseline * (1 + Unchanged)) {
+    const bool unchanged = !lower && mean <= m_baseline * (1 + Unchanged);
+    const bool unresponsive = last >= 2 && mean > UnresponsiveShare * m_probe.latencies[last - 2];
+    const bool atLowest = limit() <= m_lowest;
+    if (unchanged && !atLowest) {
         // The mean of the last probes, since each is noisy.
         m_baselineProbes = std::min(MostBaselineProbes, m_baselineProbes + 1);
         m_baseline += (mean - m_baseline) / (m_baselineProbes + 1);
         endProbe(now, mean);
-    } else if (last >= 2 && mean > UnresponsiveShare * m_probe.latencies[last - 2]) {
+        return;
+    }
+    if (lower || unresponsive || atLowest) {
+        // Lower: the baseline itself was taken under load. Otherwise: the upstream has become slower by itself.
         m_baseline = mean;
         m_baselineProbes = 0;
+    }
+    if (atLowest || (unresponsive && !lower)) {
         endProbe(now, mean);
     } else {
         setLimit(m_limit * ProbeStep);
@@ -348,6 +360,7 @@
 {
     m_probing = false;
     m_learned = true;
+    m_coldCapSince = now;
     m_nextProbe = now
         + std::max({ProbeInterval,
                     fromSeconds(ProbeIntervalLatencies * mean),
@@ -360,7 +373,7 @@
     } else {
         // Little's law: requests in service before the probe = throughput x unloaded latency.
         const double inService = m_probe.runningBefore * m_baseline / before;
-        setLimit(std::clamp(LatencyTolerance * inService, m_limit, std::max(m_limit, m_probe.limitBefore)));
+        setLimit(std::clamp(tolerance() * inService, m_limit, std::max(m_limit, m_probe.limitBefore)));
     }
     m_probeFloor = GradientFloor * m_limit;
 }
--- a/src/admission/internal/concurrencylimit.h
+++ b/src/admission/internal/concurrencylimit.h
@@ -49,6 +49,8 @@
     };
 
     [[nodiscard]] bool windowComplete(TimePoint now) const;
+    /// Mean latency over baseline that the limit settles at.
+    [[nodiscard]] double tolerance() const;
     [[nodiscard]] Finding finding() const;
     void evaluate(TimePoint now);
     bool lowerForErrors();
@@ -75,7 +77,7 @@
     LatencyWindow m_window;
     double m_windowLimit = 0; ///< The limit when the window began.
     TimePoint m_nextProbe;
-    double m_rise = 0.04; ///< Next step up, as a share of the limit.
+    double m_rise = 0.02; ///< Next step up, as a share of the limit.
     bool m_learned = false; ///< A probe has completed, so announced slots no longer matter.
     bool m_probing = false;
     Probe m_probe;
--- a/src/admission/internal/waitingqueue.cpp
+++ b/src/admission/internal/waitingqueue.cpp
@@ -25,7 +25,7 @@
 
 void WaitingQueue::configure(const AdmissionSettings &settings)
 {
-    m_weights = settings.weights;
+    m_weights = {settings.weights.begin(), settings.weights.end()};
     for (Lane &lane : m_lanes) {
         lane.byShare.clear();
         for (const auto &[workspace, index] : lane.flowOf) {
@@ -72,7 +72,7 @@
 {
     std::vector<WaitingRequest> expired;
     while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
-        expired.push_back(*remove(m_expiries.begin()->second));
+        expired.push_back(*remove(TicketId{m_expiries.begin()->second}));
         noteHopeless(expired.back(), now);
     }
     return expired;
@@ -81,7 +81,7 @@
 void WaitingQueue::promoteAged(TimePoint now)
 {
     while (!m_agings.empty() && m_agings.begin()->first <= now) {
-        Line single = extract(m_agings.begin()->second);
+        Line single = extract(TicketId{m_agings.begin()->second});
         single.front().aged = true;
         single.front().agesAt.reset();
         insert(std::move(single));
@@ -168,9 +168,9 @@
     const std::size_t flowIndex = flowOf(lane, entry.request.workspace);
     Flow &flow = lane.flows[flowIndex];
 
-    m_expiries.emplace(entry.expires, entry.ticket);
+    m_expiries.emplace(entry.expires, entry.ticket.value);
     if (entry.agesAt) {
-        m_agings.emplace(*entry.agesAt, entry.ticket);
+        m_agings.emplace(*entry.agesAt, entry.ticket.value);
     }
     const bool inserted = m_positions.emplace(entry.ticket, Position{laneIndex, flowIndex, single.begin()}).second;
     VT_INVARIANT(inserted, "a ticket waits at most once");
@@ -197,9 +197,9 @@
     Lane &lane = m_lanes[position.lane];
     Flow &flow = lane.flows[position.flow];
     const WaitingRequest &entry = *position.request;
-    m_expiries.erase({entry.expires, ticket});
+    m_expiries.erase({entry.expires, ticket.value});
     if (entry.agesAt) {
-        m_agings.erase({*entry.agesAt, ticket});
+        m_agings.erase({*entry.agesAt, ticket.value});
     }
     lane.byShare.erase({flow.share(), position.flow});
     Line &line = entry.aged ? flow.aged : flow.fresh;
--- a/src/admission/internal/waitingqueue.h
+++ b/src/admission/internal/waitingqueue.h
@@ -91,7 +91,7 @@
         Line::iterator request;
     };
 
-    static constexpr std::size_t LaneCount = 2 * PriorityClassCount;
+    static constexpr std::size_t LaneCount = std::size_t{2} * PriorityClassCount;
 
     static std::size_t laneOf(PriorityClass priority, bool inProgress);
     std::size_t flowOf(Lane &lane, const WorkspaceName &workspace);
@@ -107,9 +107,10 @@
 
     std::array<Lane, LaneCount> m_lanes;
     absl::flat_hash_map<TicketId, Position> m_positions;
-    absl::btree_set<std::pair<TimePoint, TicketId>> m_expiries;
-    absl::btree_set<std::pair<TimePoint, TicketId>> m_agings;
-    std::map<WorkspaceName, int> m_weights;
+    /// Times with the values of tickets.
+    absl::btree_set<std::pair<TimePoint, std::uint64_t>> m_expiries;
+    absl::btree_set<std::pair<TimePoint, std::uint64_t>> m_agings;
+    absl::flat_hash_map<WorkspaceName, int> m_weights;
 };
 
 } // namespace vanillatack
--- /dev/null
+++ b/src/admission/tests/limit_tests.cpp
@@ -0,0 +1,161 @@
+#include "admission/tests/upstreammodel.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdio>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t DefaultSeed = 20261204;
+
+std::uint64_t settingOr(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+/// Prints a figure for docs/design-notes/admission.md when VT_REPORT is set.
+void report(const char *what, double adaptive, double naive)
+{
+    if (std::getenv("VT_REPORT") != nullptr) {
+        std::printf("\n%-44s adaptive %.3f naive %.3f", what, adaptive, naive);
+    }
+}
+
+/// An upstream that thrashes, with three times as many slots announced as it has.
+constexpr UpstreamSettings Thrashing{.slots = 100, .thrashing = 1};
+constexpr int Misannounced = 300;
+
+struct SlowDownResult {
+    double before = 0; ///< Goodput over capacity.
+    double after = 0; ///< From 1.5 s to 2.5 s after the slow-down ends.
+};
+
+SlowDownResult runSlowDown(UpstreamSettings settings, int announced, std::uint64_t seed, bool naive)
+{
+    Simulation simulation(settings, seed, naive);
+    simulation.admission->setAnnouncedSlots(announced);
+    const double capacity = simulation.capacity();
+    simulation.addStream({.workspace = "a", .perSecond = 3 * capacity});
+    simulation.run(3s);
+    SlowDownResult result;
+    result.before = simulation.run(12s) / capacity;
+    simulation.upstream.serviceSeconds *= 5;
+    simulation.run(8s);
+    simulation.upstream.serviceSeconds = settings.serviceSeconds;
+    simulation.run(1500ms);
+    result.after = simulation.run(1s) / capacity;
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(ConcurrencyLimit)
+{
+    std::uint64_t seed = settingOr("VT_SEED", DefaultSeed);
+    std::uint64_t rounds = settingOr("VT_ROUNDS", 4);
+};
+
+// Guards against a limit that trusts announced slots, drifts with its own queue, or stays low after a slow-down.
+TEST(ConcurrencyLimit, goodputAtThreeTimesCapacityAndRecovery)
+{
+    SlowDownResult worst{1, 1};
+    double naiveBest = 0;
+    for (std::uint64_t round = 0; round < rounds; ++round) {
+        const SlowDownResult adaptive = runSlowDown(Thrashing, Misannounced, seed + round, false);
+        const SlowDownResult naive = runSlowDown(Thrashing, Misannounced, seed + round, true);
+        worst.before = std::min(worst.before, adaptive.before);
+        worst.after = std::min(worst.after, adaptive.after / adaptive.before);
+        naiveBest = std::max(naiveBest, naive.before);
+        CHECK(adaptive.before >= 0.95);
+        CHECK(adaptive.after >= 0.95 * adaptive.before);
+        CHECK(naive.before < 0.5);
+    }
+    report("goodput at 3x over capacity, worst round", worst.before, naiveBest);
+    report("goodput 2 s after slow-down over before", worst.after, 0);
+}
+
+// Guards against a limit that follows the noise of upstreams with few slots, skewed latencies or refusals of their own.
+// Below some hundred requests per second the noise costs more than the target of 0.95 in some runs, see the notes.
+TEST(ConcurrencyLimit, goodputOfOtherUpstreams)
+{
+    const std::vector<std::pair<UpstreamSettings, double>> upstreams = {
+        {{.slots = 100, .serviceSeconds = 0.02, .variation = 1}, 0.95},
+        {{.slots = 50, .serviceSeconds = 0.005, .thrashing = 0.5}, 0.95},
+        {{.slots = 100, .shedAbove = 100}, 0.95},
+        {{.slots = 40, .serviceSeconds = 0.3, .variation = 0.7}, 0.8},
+        {{.slots = 8, .serviceSeconds = 0.05, .variation = 1}, 0.85},
+    };
+    for (const auto &[settings, lowest] : upstreams) {
+        Simulation simulation(settings, seed);
+        simulation.addStream({.workspace = "a", .perSecond = 3 * simulation.capacity(), .deadline = 3s});
+        simulation.run(10s);
+        const double share = simulation.run(30s) / simulation.capacity();
+        report("goodput of other upstreams at 3x", share, 0);
+        CHECK(share >= lowest);
+    }
+}
+
+// Guards against an all-time minimum as the baseline, which would keep the limit low for good.
+TEST(ConcurrencyLimit, permanentSlowDownIsLearned)
+{
+    Simulation simulation({.slots = 100}, seed);
+    simulation.addStream({.workspace = "a", .perSecond = 3 * simulation.capacity()});
+    simulation.run(10s);
+    simulation.upstream.serviceSeconds *= 3;
+    simulation.run(5s);
+    CHECK(simulation.run(10s) >= 0.95 * simulation.capacity());
+    DOUBLES_EQUAL(0.06, std::chrono::duration<double>(simulation.admission->snapshot().baseline).count(), 0.009);
+}
+
+// Guards against a collapse of the limit when latency rises for a reason other than concurrency.
+TEST(ConcurrencyLimit, slowUpstreamWithFreeSlotsKeepsServing)
+{
+    Simulation simulation({.slots = 1000}, seed);
+    simulation.addStream({.workspace = "a", .perSecond = 3000});
+    simulation.run(10s);
+    simulation.upstream.serviceSeconds = 0.1;
+    simulation.run(5s);
+    simulation.resetTallies();
+    simulation.run(10s);
+    // Not the share of good ones: requests in flight at both ends of the interval differ by chance.
+    const double refused = static_cast<double>(simulation.tallies[0].refused) / simulation.tallies[0].offered;
+    report("refused by a slow upstream with free slots", refused, 0);
+    CHECK(refused <= 0.001);
+}
+
+// Guards against a limit that rises without being used, and so protects nothing when load comes.
+TEST(ConcurrencyLimit, unusedLimitDoesNotRise)
+{
+    Simulation simulation({.slots = 100}, seed);
+    simulation.addStream({.workspace = "a", .perSecond = 500});
+    simulation.run(60s);
+    CHECK(simulation.admission->snapshot().limit <= 100);
+    LONGS_EQUAL(0, simulation.tallies[0].refused);
+}
+
+// Guards against a cold upstream that gets its full load at once.
+TEST(ConcurrencyLimit, coldStartDoublesAtMostOncePerSecond)
+{
+    Simulation simulation({.slots = 200}, seed);
+    simulation.admission->startCold();
+    LONGS_EQUAL(20, simulation.admission->snapshot().limit);
+    simulation.addStream({.workspace = "a", .perSecond = 3 * simulation.capacity()});
+    std::deque<int> lastSecond;
+    int highest = 0;
+    for (int step = 0; step < 600 && highest < 200; ++step) {
+        lastSecond.push_back(simulation.admission->snapshot().limit);
+        if (lastSecond.size() > 100) {
+            lastSecond.pop_front();
+        }
+        simulation.run(10ms);
+        const int limit = simulation.admission->snapshot().limit;
+        CHECK(limit <= 2 * *std::min_element(lastSecond.begin(), lastSecond.end()));
+        highest = std::max(highest, limit);
+    }
+    LONGS_EQUAL(200, highest);
+}
