--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -4,6 +4,8 @@
 #include "base/log.h"
 #include "membership/internal/membertransition.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
 
 namespace vanillatack {
@@ -123,7 +125,7 @@
 std::vector<Member> Membership::contactCandidates() const
 {
     std::vector<Member> candidates;
-    std::set<Endpoint> known{m_state.self.endpoint};
+    absl::flat_hash_set<Endpoint> known{m_state.self.endpoint};
     const auto add = [&](const Member &member) {
         if (!m_state.table.isLiveEndpoint(member.endpoint) && known.insert(member.endpoint).second) {
             candidates.push_back(member);
--- a/src/membership/tests/fakenetwork.h
+++ b/src/membership/tests/fakenetwork.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "membership/membershipsetup.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <queue>
@@ -59,6 +60,7 @@
     std::map<Endpoint, std::unique_ptr<FakeNode>> nodes; ///< Running nodes, at most one per address.
     std::vector<std::unique_ptr<FakeNode>> stopped;
     std::vector<Endpoint> seeds;
+    std::function<void(const FakeNode &, const ControlMessage &)> onSend; ///< For measurements.
 
     explicit FakeNetwork(std::uint64_t seed)
         : random(seed)
@@ -94,11 +96,14 @@
         return result;
     }
 
-    void startZone(const std::string &zone, int count)
+    void startZone(const std::string &zone, int count, int services = 5, int firstService = 0)
     {
         for (int index = 0; index < count; ++index) {
             const std::string number = std::to_string(index + 1000).substr(1);
-            start(zone + "-node-" + number, zone, "service-" + std::to_string(index % 5), index < 4 ? index : -1);
+            start(zone + "-node-" + number,
+                  zone,
+                  "service-" + std::to_string((firstService + index) % services),
+                  index < 4 ? index : -1);
         }
     }
 
@@ -130,6 +135,9 @@
     void send(FakeNode &from, const Endpoint &to, const ControlMessage &message)
     {
         ++from.sentMessages;
+        if (onSend) {
+            onSend(from, message);
+        }
         from.sentBytes += estimateBytes(message);
         const int copies = random.fraction() < loss ? 0 : random.fraction() < duplication ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
--- /dev/null
+++ b/src/routing/internal/instancescore.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "routing/irouter.h"
+#include "routing/routingsetup.h"
+
+#include <optional>
+
+namespace vanillatack {
+
+/// A ratio or level that new samples move and that halves with time while there are none.
+class DecayingAverage
+{
+public:
+    void add(double sample, double share, TimePoint now, Duration halfLife);
+
+    [[nodiscard]] double value(TimePoint now, Duration halfLife) const;
+
+    void reset()
+    {
+        m_value = 0;
+    }
+
+private:
+    double m_value = 0;
+    TimePoint m_at;
+};
+
+/// What this node has seen of one instance.
+class InstanceScore
+{
+public:
+    InstanceScore(const RoutingSettings &settings, TimePoint now)
+        : m_settings(&settings)
+        , m_slowStartAt(now)
+    {
+    }
+
+    void record(AttemptOutcome outcome, Duration latency, TimePoint now);
+
+    /// Starts the weight low again, for a cold or returning instance.
+    void restartSlowly(TimePoint now);
+
+    /// Takes the instance out for a time that doubles with each ejection.
+    void eject(TimePoint now);
+
+    /// Whether failures speak for an ejection; the ratio is that of the other instances.
+    [[nodiscard]] bool deservesEjection(double peerFailureRatio, TimePoint now) const;
+
+    [[nodiscard]] bool isEjected(TimePoint now) const
+    {
+        return now < m_ejectedUntil;
+    }
+
+    [[nodiscard]] bool isBackedOff(TimePoint now) const
+    {
+        return now < m_connectAfter;
+    }
+
+    [[nodiscard]] double failureRatio(TimePoint now) const;
+    [[nodiscard]] double refusalRatio(TimePoint now) const;
+
+    /// Smoothed latency in seconds, 0 when unknown.
+    [[nodiscard]] double latency(TimePoint now) const;
+
+    [[nodiscard]] double slowStartWeight(TimePoint now) const;
+
+    /// Slow start and failures together, in (0, 1].
+    [[nodiscard]] double weight(TimePoint now) const;
+
+private:
+    const RoutingSettings *m_settings;
+    TimePoint m_slowStartAt;
+    TimePoint m_ejectedUntil;
+    TimePoint m_connectAfter;
+    int m_ejections = 0;
+    int m_failuresInRow = 0;
+    int m_connectFailuresInRow = 0;
+    DecayingAverage m_failures;
+    DecayingAverage m_refusals;
+    DecayingAverage m_latency;
+};
+
+} // namespace vanillatack
