Spread heartbeats of zones along a tree

Cause: heartbeats to three random members cost 6.4 KB/s per node at 13 zones of 20 nodes, most of them copies.

--- a/src/membership/internal/localstate.cpp
+++ b/src/membership/internal/localstate.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Room for a ping without updates, apart from the description of its sender.
-constexpr std::size_t EmptyProbeBytes = 170;
+constexpr std::size_t EmptyProbeBytes = 210;
 
 } // namespace
 
--- a/src/membership/internal/zoneexchange.cpp
+++ b/src/membership/internal/zoneexchange.cpp
@@ -99,7 +99,7 @@
     std::set<ServiceName> changed;
     ZoneTable::replaceContent(own, m_summary, version, changed);
     const ZoneDigest change = ZoneTable::contentSince(own, base, m_state.self.node);
-    spread(change, m_state.settings.digestFanout);
+    spread(change);
     for (const auto &[zone, record] : m_state.zones.records()) {
         if (zone == own.zone || record.content.relays.empty()) {
             continue;
@@ -137,17 +137,17 @@
                 m_state.sender.send(m_state.table.find(node)->member.endpoint, heartbeat);
             }
         }
-        if (own.heartbeat >= own.spreadHeartbeat + toMs(m_state.settings.heartbeatSpread)) {
-            own.spreadHeartbeat = own.heartbeat;
-            spread(heartbeat, m_state.settings.digestFanout);
-        }
+        passHeartbeat(own, own.heartbeat);
     }
     std::vector<const Member *> targets;
     for (const auto &[zone, record] : m_state.zones.records()) {
         if (zone != own.zone && !record.content.relays.empty()) {
             const auto &relays = record.content.relays;
             targets.push_back(&relays[m_state.random.below(relays.size())]);
-            m_state.sender.send(targets.back()->endpoint, heartbeat);
+            // Four relays with half of the zones each per period suffice for a heartbeat every other period.
+            if (m_state.random.below(2) == 0) {
+                m_state.sender.send(targets.back()->endpoint, heartbeat);
+            }
         }
     }
     // Pings carry this node's own document versions, which the lowest versions of the zone lag behind.
@@ -291,11 +291,10 @@
         ZoneDigest passedOn = message;
         passedOn.sender = m_state.self.node;
         // Whole digests are large; those who miss one ask for it after the next heartbeat.
-        spread(formOf(message) == DigestForm::Change ? passedOn : freshHeartbeat(*record),
-               m_state.settings.digestFanout);
-    } else if (newer && record->heartbeat >= record->spreadHeartbeat + toMs(m_state.settings.heartbeatSpread)) {
-        record->spreadHeartbeat = record->heartbeat;
-        spread(ZoneTable::heartbeatOf(*record, m_state.self.node), m_state.settings.digestFanout);
+        spread(formOf(message) == DigestForm::Change ? passedOn : freshHeartbeat(*record));
+    }
+    if (formOf(message) == DigestForm::Heartbeat) {
+        passHeartbeat(*record, message.heartbeat);
     }
     if (message.version < record->version && message.heartbeat > 0 && now >= m_nextAnswer) {
         // The sender lags behind, for example a relay of a replaced zone; it asks for the content when it sees this.
@@ -343,13 +342,41 @@
     m_state.sender.send(from, request);
 }
 
-void ZoneExchange::spread(const ZoneDigest &digest, int count)
+void ZoneExchange::spread(const ZoneDigest &digest)
 {
-    for (const Member &peer : m_state.randomPeers(static_cast<std::size_t>(count))) {
+    for (const Member &peer : m_state.randomPeers(static_cast<std::size_t>(m_state.settings.digestFanout))) {
         m_state.sender.send(peer.endpoint, digest);
     }
 }
 
+void ZoneExchange::passHeartbeat(ZoneRecord &record, std::uint64_t heartbeat)
+{
+    if (heartbeat < record.spreadHeartbeat + toMs(m_state.settings.heartbeatSpread) || heartbeat < record.heartbeat) {
+        return;
+    }
+    record.spreadHeartbeat = heartbeat;
+    // A tree over the sorted members whose root moves with the heartbeat: every node gets one copy, where random
+    // targets would cost three. Who misses it because a node above is gone asks a relay.
+    const std::vector<NodeName> &live = m_state.table.live();
+    const auto fanout = static_cast<std::size_t>(m_state.settings.digestFanout);
+    const std::size_t root = heartbeat / toMs(m_state.settings.heartbeatSpread) % live.size();
+    const auto own = static_cast<std::size_t>(std::ranges::lower_bound(live, m_state.self.node) - live.begin());
+    const std::size_t position = (own + live.size() - root) % live.size();
+    const ZoneDigest digest = ZoneTable::heartbeatOf(record, m_state.self.node);
+    const auto sendTo = [&](std::size_t place) {
+        const NodeName &node = live[(root + place) % live.size()];
+        m_state.sender.send(m_state.table.find(node)->member.endpoint, digest);
+    };
+    for (std::size_t child = position * fanout + 1; child <= (position + 1) * fanout && child < live.size(); ++child) {
+        sendTo(child);
+    }
+    // Heartbeats enter the zone at a relay, which need not be the root.
+    const std::vector<NodeName> relays = m_state.relayNames(m_state.settings.relays);
+    if (position != 0 && std::ranges::find(relays, m_state.self.node) != relays.end()) {
+        sendTo(0);
+    }
+}
+
 void ZoneExchange::introduceZones(const Member &node)
 {
     const TimePoint now = m_state.clock.now();
--- a/src/membership/internal/zoneexchange.h
+++ b/src/membership/internal/zoneexchange.h
@@ -35,7 +35,8 @@
     void expireContacts();
     void answerRequest(const Endpoint &to, const ZoneDigest &request);
     void requestContent(ZoneRecord &record, const Endpoint &from);
-    void spread(const ZoneDigest &digest, int count);
+    void spread(const ZoneDigest &digest);
+    void passHeartbeat(ZoneRecord &record, std::uint64_t heartbeat);
     [[nodiscard]] ZoneDigest freshHeartbeat(const ZoneRecord &record) const;
     [[nodiscard]] ZoneContent summarize() const;
     [[nodiscard]] StateVersions lowestVersions() const;
--- a/src/membership/programs/trafficmain.cpp
+++ b/src/membership/programs/trafficmain.cpp
@@ -17,6 +17,7 @@
 
 constexpr int Services = 380;
 constexpr std::array<const char *, 5> KindNames = {"ping", "ping-indirect", "ack", "member-sync", "zone-digest"};
+constexpr std::size_t HeaderBytes = 52; // UDP, IP and authentication, which the codec does not add.
 constexpr std::size_t SampledEvery = 97; // Messages that are also encoded, to check the size estimate.
 
 struct Traffic {
@@ -45,11 +46,11 @@
         traffic.bytes.at(message.index()) += bytes;
     }
     if (++traffic.count % SampledEvery == 0) {
-        const std::size_t encoded = encodeFrame(ControlFrame{node.description.endpoint, message}).size();
+        const std::size_t encoded = encodeFrame(ControlFrame{node.description.endpoint, message}).size() + HeaderBytes;
         traffic.sampledEstimate += bytes;
         traffic.sampledEncoded += encoded;
         if (!std::holds_alternative<MemberSync>(message) && !std::holds_alternative<ZoneDigest>(message)) {
-            traffic.largestDatagram = std::max(traffic.largestDatagram, encoded);
+            traffic.largestDatagram = std::max(traffic.largestDatagram, encoded - HeaderBytes);
         }
     }
 }
