--- a/src/documents/internal/withdrawaltable.cpp
+++ b/src/documents/internal/withdrawaltable.cpp
@@ -149,7 +149,7 @@
     for (auto entry = m_pending.begin(); entry != m_pending.end() && keys.size() < RowsPerTransaction;) {
         const auto withdrawn = m_known.find(entry->first);
         if (!withdrawn || (!entry->second.done && m_inTable.contains(entry->first))) {
-            m_pending.erase(entry++); // Forgotten, or written by another node meanwhile.
+            entry = m_pending.erase(entry); // Forgotten, or written by another node meanwhile.
             continue;
         }
         writes.push_back({.key = withdrawnRowKey(withdrawn->key),
--- a/src/documents/internal/withdrawaltable.h
+++ b/src/documents/internal/withdrawaltable.h
@@ -4,9 +4,10 @@
 #include "documents/internal/documentscontext.h"
 #include "documents/internal/withdrawnset.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <map>
+
 namespace vanillatack {
 
 /// Keeps the rows of withdrawn keys in the table up to date: writes those withdrawn at this node, and, on a reader,
@@ -53,7 +54,7 @@
     DocumentsContext &m_context;
     const WithdrawnSet &m_known;
     Scanned m_scanned;
-    absl::flat_hash_map<KeyId, Pending> m_pending;
+    std::map<KeyId, Pending> m_pending; ///< Ordered, so that runs with the same seed are equal.
     absl::flat_hash_set<KeyId> m_inTable; ///< As of the last scan and own writes.
     std::vector<WithdrawnKey> m_page; ///< Rows of the scan in progress.
     std::optional<TimePoint> m_lastScanAt;
--- a/src/documents/simulation/simulatedfleet.cpp
+++ b/src/documents/simulation/simulatedfleet.cpp
@@ -95,8 +95,12 @@
 
     [[nodiscard]] bool isAmongLowest(std::size_t count) const override
     {
-        const std::vector<int> nodes = m_fleet.runningIn(m_fleet.zoneOf(m_index));
-        return std::find(nodes.begin(), nodes.end(), m_index) - nodes.begin() < static_cast<std::ptrdiff_t>(count);
+        std::size_t lower = 0;
+        for (int node = m_fleet.zoneOf(m_index) * m_fleet.m_options.nodesPerZone; node < m_index && lower < count;
+             ++node) {
+            lower += m_fleet.isRunning(node) ? 1 : 0;
+        }
+        return lower < count;
     }
 
     void onDocument(DocumentKind kind, const DocumentVersion &document) override
@@ -128,7 +132,7 @@
     , m_options(options)
     , m_random(options.seed)
 {
-    const auto count = static_cast<std::size_t>(options.zones * options.nodesPerZone);
+    const auto count = static_cast<std::size_t>(options.zones) * static_cast<std::size_t>(options.nodesPerZone);
     m_nodes.resize(count);
     m_incarnations.resize(count);
     for (int node = 0; node < size(); ++node) {
--- a/src/documents/tests/fleet_tests.cpp
+++ b/src/documents/tests/fleet_tests.cpp
@@ -84,10 +84,14 @@
     }
 
     /// A peer sends content whose digest is that of the other text.
-    void pushTo(int node, std::uint64_t version, const std::string &content, const std::string &digestOf)
+    void pushTo(int node,
+                std::uint64_t version,
+                const std::string &content,
+                const std::string &digestOf,
+                DocumentKind kind = DocumentKind::Configuration)
     {
         const DocumentPush push{.sender = NodeName("peer"),
-                                .kind = DocumentKind::Configuration,
+                                .kind = kind,
                                 .version = version,
                                 .digest = sha256Hex(digestOf),
                                 .content = content};
@@ -258,6 +262,55 @@
     CHECK(fleet->platform.store.read("withdrawn/k2").has_value());
 }
 
+// Guards against a zone that reaches the platform only and learns nothing from it, and against a node that no message
+// reaches and that never asks the platform itself.
+TEST(Fleet, platformIsEnoughToLearnOfChanges)
+{
+    makeFleet({.zones = 3, .nodesPerZone = 8});
+    fleet->run(31s); // Past the first polls of all nodes, which come earlier.
+    fleet->network.cutFromZones = {2};
+    apply(0, 1, "two");
+    fleet->documents(3).withdraw(KeyId("k1"), [](const Result<void> &) {});
+    fleet->run(5s);
+    LONGS_EQUAL(0, countBehind(2));
+    LONGS_EQUAL(0, countNotWithdrawn(KeyId("k1")));
+    fleet->network.loss = 1;
+    apply(0, 2, "three");
+    fleet->run(31s);
+    LONGS_EQUAL(0, countBehind(3));
+}
+
+// Guards against changes that wait for the next probe, instead of being pushed at once.
+TEST(Fleet, changesArePushedAtOnce)
+{
+    makeFleet({.zones = 1, .nodesPerZone = 20});
+    fleet->run(5s);
+    fleet->documents(7).withdraw(KeyId("k1"), [](const Result<void> &) {});
+    fleet->run(30ms);
+    CHECK(countNotWithdrawn(KeyId("k1")) < 5);
+    const PendingApply change = apply(7, 1, "two");
+    while (!change.outcome->has_value()) {
+        fleet->run(1ms);
+    }
+    fleet->run(30ms);
+    CHECK(countBehind(2) < 5);
+}
+
+// Guards against a node that accepts withdrawn keys since it was ready before it knew them.
+TEST(Fleet, nodeIsNotReadyBeforeItKnowsTheWithdrawnKeys)
+{
+    fleet = std::make_unique<SimulatedFleet>(FleetOptions{.zones = 1, .nodesPerZone = 1});
+    fleet->network.cutFromPlatform = {0};
+    pushTo(0, 4, "four", "four");
+    pushTo(0, 4, formatKeyDocument({}), formatKeyDocument({}), DocumentKind::Keys);
+    fleet->run(30s);
+    LONGS_EQUAL(4, configVersion(0));
+    CHECK(!fleet->documents(0).isReady());
+    fleet->network.cutFromPlatform.clear();
+    fleet->run(5s);
+    CHECK(fleet->documents(0).isReady());
+}
+
 // Guards against a replaced zone that serves without documents or with old ones.
 TEST(Fleet, replacedZoneIsReadyOnlyWithTheNewestDocuments)
 {
