Run the whole request path in the daemon

Cause: the decision modules had no process around them. Change: the node module joins the decisions of one node; the daemon puts threads and sockets around them. Caller, egress node, ingress node in another process, upstream and back, with calls between services by request token, claims through the platform's table, operators' interface and burn archive.

--- /dev/null
+++ b/src/daemon/internal/daemon.cpp
@@ -0,0 +1,216 @@
+#include "daemon/daemon.h"
+
+#include "admin/adminserver.h"
+#include "base/log.h"
+#include "daemon/internal/adminservice.h"
+#include "daemon/internal/decisionthread.h"
+#include "daemon/internal/edges.h"
+#include "daemon/internal/egressshell.h"
+#include "daemon/internal/ingressshell.h"
+#include "metrics/metricssetup.h"
+#include "node/nodesetup.h"
+#include "platform/platformsetup.h"
+#include "transport/httpedge.h"
+#include "transport/nodelink.h"
+
+#include <thread>
+
+namespace vanillatack {
+
+namespace {
+
+constexpr Log DaemonLog("daemon");
+constexpr std::chrono::milliseconds ShutdownPollInterval{20};
+
+/// Passes what other nodes send to the shells. The shells exist only after the link they are called by.
+class NodeHandler final : public INodeHandler
+{
+public:
+    void connect(IngressShell &ingress, NodeLock &lock, INode &node)
+    {
+        m_ingress = &ingress;
+        m_lock = &lock;
+        m_node = &node;
+    }
+
+    CallReply handleCall(const CallRequest &request, int peerSocket) override
+    {
+        return m_ingress->run(request, peerSocket);
+    }
+
+    void handleControl(const ControlFrame &frame) override
+    {
+        const auto lock = m_lock->acquire();
+        m_node->receive(frame.sender, frame.message);
+    }
+
+private:
+    IngressShell *m_ingress = nullptr;
+    NodeLock *m_lock = nullptr;
+    INode *m_node = nullptr;
+};
+
+NodeLinkSettings linkSettings(const DaemonSettings &settings)
+{
+    NodeLinkSettings link;
+    link.listen = {settings.address, settings.nodePort};
+    link.secret = settings.fleetSecret;
+    link.maxConnections = static_cast<std::size_t>(settings.maxConnections);
+    return link;
+}
+
+HttpEdgeSettings edgeSettings(const DaemonSettings &settings, const Endpoint &listen)
+{
+    HttpEdgeSettings edge;
+    edge.listen = listen;
+    edge.maxConnections = static_cast<std::size_t>(settings.maxConnections);
+    edge.maxHeadBytes = static_cast<std::size_t>(settings.maxHeadBytes);
+    edge.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    edge.idleTimeout = settings.idleTimeout;
+    return edge;
+}
+
+PlatformServices makePlatform(const DaemonSettings &settings, const IClock &clock, IExecutor &executor)
+{
+    if (settings.embeddedPlatform) {
+        return makeMemoryPlatform(executor);
+    }
+    HttpPlatformSettings platform;
+    platform.address = settings.platform.address;
+    platform.port = settings.platform.port;
+    return makeHttpPlatform(platform, clock, executor);
+}
+
+SelfDescription selfDescription(const DaemonSettings &settings)
+{
+    return {settings.name, settings.zone, {settings.address, settings.nodePort}, settings.shareSlot, settings.seeds};
+}
+
+class Daemon final : public IDaemon
+{
+public:
+    Daemon(const DaemonSettings &settings, const StateChart &upstreamChart)
+        : m_settings(settings)
+        , m_decisions(m_clock, m_lock)
+        , m_platform(makePlatform(settings, m_clock, m_decisions))
+        , m_link(makeNodeLink(linkSettings(settings),
+                              m_handler,
+                              m_random,
+                              [this](bool sent, std::size_t bytes) {
+                                  m_metrics.metrics().countControlBytes(sent ? "sent" : "received", bytes);
+                              }))
+        , m_node(makeNode({m_clock,
+                           m_random,
+                           *m_link,
+                           *m_platform.table,
+                           *m_platform.objects,
+                           m_metrics.metrics(),
+                           m_lock,
+                           upstreamChart},
+                          selfDescription(settings)))
+        , m_upstreamClient(makeUpstreamClient({}))
+        , m_ingress(m_clock, m_lock, *m_node, *m_upstreamClient)
+        , m_egress(m_clock, m_lock, *m_node, *m_link)
+        , m_callerHandler(m_egress)
+        , m_localHandler(m_egress, m_lock, *m_node)
+        , m_callerEdge(makeHttpEdge(edgeSettings(settings, {settings.address, settings.callerPort}), m_callerHandler))
+        , m_localEdge(makeHttpEdge(edgeSettings(settings, {settings.localAddress, settings.localPort}), m_localHandler))
+        , m_adminService(m_clock, m_random, m_lock, *m_node, m_settings)
+        , m_adminServer(m_adminService, settings.operatorCredential)
+    {
+        m_handler.connect(m_ingress, m_lock, *m_node);
+    }
+
+    ~Daemon() override
+    {
+        stop();
+    }
+
+    Result<void> start() override
+    {
+        BOOST_OUTCOME_TRY(m_metrics.startServer({m_settings.address, m_settings.metricsPort}));
+        BOOST_OUTCOME_TRY(m_link->start());
+        BOOST_OUTCOME_TRY(m_localEdge->start());
+        BOOST_OUTCOME_TRY(m_callerEdge->start());
+        BOOST_OUTCOME_TRY(m_adminServer.start({m_settings.address, m_settings.adminPort}));
+        m_decisions.start(*m_node);
+        m_running = true;
+        DaemonLog.info("The node runs.",
+                       {{"node", m_settings.name.value},
+                        {"zone", m_settings.zone.value},
+                        {"callers", m_settings.address + ":" + std::to_string(m_settings.callerPort)}});
+        return success();
+    }
+
+    void shutDown() override
+    {
+        const TimePoint begin = m_clock.now();
+        {
+            const auto lock = m_lock.acquire();
+            m_node->startShutdown();
+        }
+        m_callerEdge->startDraining();
+        const TimePoint earliest = begin + m_settings.drainPeriod;
+        const TimePoint latest = begin + m_settings.shutdownTimeout;
+        while (m_clock.now() < earliest || (requestsInProgress() > 0 && m_clock.now() < latest)) {
+            std::this_thread::sleep_for(ShutdownPollInterval);
+        }
+        const std::size_t left = requestsInProgress();
+        DaemonLog.info("The node stops.", {{"unfinished", std::to_string(left)}});
+        stop();
+    }
+
+private:
+    std::size_t requestsInProgress()
+    {
+        const auto lock = m_lock.acquire();
+        return m_node->requestsInProgress();
+    }
+
+    void stop()
+    {
+        if (!m_running) {
+            return;
+        }
+        m_running = false;
+        m_callerEdge->stop();
+        m_adminServer.stop();
+        {
+            const auto lock = m_lock.acquire();
+            m_node->leaveFleet();
+        }
+        m_link->stop();
+        m_localEdge->stop();
+        m_decisions.stop();
+    }
+
+    const DaemonSettings m_settings;
+    SystemClock m_clock;
+    SystemRandom m_random;
+    NodeLock m_lock;
+    NodeHandler m_handler;
+    MetricsSetup m_metrics;
+    DecisionThread m_decisions;
+    PlatformServices m_platform;
+    std::unique_ptr<INodeLink> m_link;
+    std::unique_ptr<INode> m_node;
+    std::unique_ptr<IUpstreamClient> m_upstreamClient;
+    IngressShell m_ingress;
+    EgressShell m_egress;
+    CallerEdge m_callerHandler;
+    LocalEdge m_localHandler;
+    std::unique_ptr<IHttpEdge> m_callerEdge;
+    std::unique_ptr<IHttpEdge> m_localEdge;
+    AdminService m_adminService;
+    AdminServer m_adminServer;
+    bool m_running = false;
+};
+
+} // namespace
+
+std::unique_ptr<IDaemon> makeDaemon(const DaemonSettings &settings, const StateChart &upstreamChart)
+{
+    return std::make_unique<Daemon>(settings, upstreamChart);
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/daemon/internal/decisionthread.cpp
@@ -0,0 +1,99 @@
+#include "daemon/internal/decisionthread.h"
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickInterval{10};
+
+} // namespace
+
+DecisionThread::DecisionThread(IClock &clock, NodeLock &lock)
+    : m_clock(clock)
+    , m_lock(lock)
+{
+}
+
+DecisionThread::~DecisionThread()
+{
+    stop();
+}
+
+void DecisionThread::start(INode &node)
+{
+    m_node = &node;
+    m_thread = std::thread([this] {
+        work();
+    });
+}
+
+void DecisionThread::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void DecisionThread::post(std::function<void()> task)
+{
+    postAfter(Duration::zero(), std::move(task));
+}
+
+void DecisionThread::postAfter(Duration delay, std::function<void()> task)
+{
+    const std::lock_guard lock(m_mutex);
+    m_tasks.push_back({m_clock.now() + delay, std::move(task)});
+    if (delay == Duration::zero()) {
+        m_wake.notify_one();
+    }
+}
+
+std::vector<std::function<void()>> DecisionThread::takeDue()
+{
+    std::vector<std::function<void()>> due;
+    const TimePoint now = m_clock.now();
+    const auto later = std::stable_partition(m_tasks.begin(), m_tasks.end(), [now](const Task &task) {
+        return task.due <= now;
+    });
+    for (auto task = m_tasks.begin(); task != later; ++task) {
+        due.push_back(std::move(task->run));
+    }
+    m_tasks.erase(m_tasks.begin(), later);
+    return due;
+}
+
+void DecisionThread::work()
+{
+    std::unique_lock lock(m_mutex);
+    TimePoint nextTick = m_clock.now();
+    while (!m_stopping) {
+        const std::vector<std::function<void()>> due = takeDue();
+        lock.unlock();
+        {
+            const auto nodeLock = m_lock.acquire();
+            for (const auto &task : due) {
+                task();
+            }
+            if (m_clock.now() >= nextTick) {
+                m_node->tick();
+                nextTick = m_clock.now() + TickInterval;
+            }
+        }
+        lock.lock();
+        const bool pending = std::any_of(m_tasks.begin(), m_tasks.end(), [this](const Task &task) {
+            return task.due <= m_clock.now();
+        });
+        if (!m_stopping && !pending) {
+            m_wake.wait_until(lock, nextTick);
+        }
+    }
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/daemon/internal/decisionthread.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "daemon/internal/nodelock.h"
+#include "platform/iexecutor.h"
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+namespace vanillatack {
+
+/// Ticks the node and runs posted tasks under the node's lock.
+class DecisionThread final : public IExecutor
+{
+public:
+    DecisionThread(IClock &clock, NodeLock &lock);
+    ~DecisionThread() override;
+
+    void start(INode &node);
+    void stop();
+
+    void post(std::function<void()> task) override;
+    void postAfter(Duration delay, std::function<void()> task) override;
+
+private:
+    struct Task {
+        TimePoint due;
+        std::function<void()> run;
+    };
+
+    void work();
+    std::vector<std::function<void()>> takeDue();
+
+    IClock &m_clock;
+    NodeLock &m_lock;
+    INode *m_node = nullptr;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::vector<Task> m_tasks;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/daemon/internal/egressshell.cpp
@@ -0,0 +1,185 @@
+#include "daemon/internal/egressshell.h"
+
+#include "base/digest.h"
+#include "daemon/internal/problem.h"
+
+#include <absl/strings/match.h>
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+/// Longest wait for a quota loan; a loan takes one round trip to a node of the same or a nearby zone.
+constexpr std::chrono::milliseconds MaxTokenWait{30};
+
+AttemptEnd toAttemptEnd(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::Replied:
+        return AttemptEnd::Replied;
+    case CallEnd::NotSent:
+        return AttemptEnd::NotSent;
+    case CallEnd::Broken:
+        return AttemptEnd::Broken;
+    case CallEnd::Cancelled:
+        return AttemptEnd::Cancelled;
+    }
+    return AttemptEnd::Broken;
+}
+
+/// Headers that go on to the upstream. The caller's key ends here.
+HeaderList forwardedHeaders(const HeaderList &headers)
+{
+    HeaderList forwarded;
+    for (const auto &header : headers) {
+        const bool internal = absl::StartsWithIgnoreCase(header.first, "vanillatack-");
+        if (!internal && !isHopByHopHeader(header.first) && !sameHeader(header.first, "authorization")) {
+            forwarded.push_back(header);
+        }
+    }
+    return forwarded;
+}
+
+Refusal claimRefusal(const ClaimResult &result)
+{
+    switch (result.outcome) {
+    case ClaimOutcome::InProgress:
+        return {RefusalKind::DuplicateInProgress, RunState::Unknown, result.retryAfter};
+    case ClaimOutcome::Mismatch:
+        return {RefusalKind::IdempotencyMismatch, RunState::NotRun, Duration::zero()};
+    default:
+        return {RefusalKind::StoreUnavailable,
+                RunState::NotRun,
+                std::max<Duration>(result.retryAfter, std::chrono::seconds(1))};
+    }
+}
+
+HttpResponse toResponse(StoredAnswer answer, const std::string &rootId)
+{
+    HttpResponse response{answer.status, std::move(answer.headers), std::move(answer.body), false};
+    response.headers.emplace_back("Vanillatack-Request-Id", rootId);
+    return response;
+}
+
+} // namespace
+
+EgressShell::EgressShell(IClock &clock, NodeLock &lock, INode &node, INodeLink &link)
+    : m_clock(clock)
+    , m_lock(lock)
+    , m_node(node)
+    , m_link(link)
+{
+}
+
+HttpResponse EgressShell::run(const HttpRequest &request, const EntryRequest &entry, int callerSocket)
+{
+    Running running;
+    bool needsClaim = false;
+    if (auto response = enter(entry, running, needsClaim)) {
+        return std::move(*response);
+    }
+    if (needsClaim) {
+        if (auto response = claim(request, running)) {
+            return std::move(*response);
+        }
+    }
+    return attempt(request, running, callerSocket);
+}
+
+std::optional<HttpResponse> EgressShell::enter(const EntryRequest &entry, Running &running, bool &needsClaim)
+{
+    auto lock = m_lock.acquire();
+    EntryDecision decision = m_node.enter(entry);
+    const TimePoint patience = m_clock.now() + MaxTokenWait;
+    while (decision.outcome == EntryOutcome::WaitForTokens) {
+        m_lock.waitForTokens(lock, decision.workspace, patience);
+        decision = m_node.resumeEntry(decision.request, m_clock.now() >= patience);
+    }
+    if (decision.outcome == EntryOutcome::Refused) {
+        lock.unlock();
+        return makeProblem(decision.refusal, decision.rootId);
+    }
+    running = {decision.request, decision.rootId, decision.deadline};
+    needsClaim = decision.needsClaim;
+    return std::nullopt;
+}
+
+std::optional<HttpResponse> EgressShell::claim(const HttpRequest &request, const Running &running)
+{
+    // Outlives this call when the completion comes after the deadline.
+    struct Pending {
+        std::condition_variable wake;
+        std::optional<ClaimResult> result;
+    };
+    const auto pending = std::make_shared<Pending>();
+    const std::string digest = sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
+    auto lock = m_lock.acquire();
+    m_node.claim(running.id, digest, [pending](const ClaimResult &result) {
+        pending->result = result;
+        pending->wake.notify_one();
+    });
+    pending->wake.wait_until(lock, running.deadline, [&pending] {
+        return pending->result.has_value();
+    });
+    const ClaimResult result = pending->result.value_or(ClaimResult{});
+    lock.unlock();
+    if (result.outcome == ClaimOutcome::Acquired) {
+        return std::nullopt;
+    }
+    if (result.outcome == ClaimOutcome::Answered) {
+        lock.lock();
+        m_node.leave(running.id, result.answer, {});
+        lock.unlock();
+        return toResponse(result.answer, running.rootId);
+    }
+    return leaveRefused(running, claimRefusal(result));
+}
+
+HttpResponse EgressShell::attempt(const HttpRequest &request, const Running &running, int callerSocket)
+{
+    const HeaderList headers = forwardedHeaders(request.headers);
+    while (true) {
+        auto lock = m_lock.acquire();
+        AttemptPlan plan = m_node.planAttempt(running.id);
+        lock.unlock();
+        if (plan.outcome == PlanOutcome::Refused) {
+            return leaveRefused(running, plan.refusal);
+        }
+        plan.message.method = request.method;
+        plan.message.target = request.target;
+        plan.message.headers = headers;
+        plan.message.body = request.body;
+        CallAttempt attempt = m_link.call(plan.node, plan.message, running.deadline, callerSocket);
+        lock.lock();
+        const AttemptVerdict verdict =
+            m_node.endAttempt(running.id, plan.call, toAttemptEnd(attempt.end), attempt.reply);
+        lock.unlock();
+        if (verdict.outcome == VerdictOutcome::Answer) {
+            return leaveAnswered(running, std::move(attempt.reply));
+        }
+        if (verdict.outcome == VerdictOutcome::Refused) {
+            return leaveRefused(running, verdict.refusal);
+        }
+    }
+}
+
+HttpResponse EgressShell::leaveRefused(const Running &running, const Refusal &refusal)
+{
+    HttpResponse response = makeProblem(refusal, running.rootId);
+    auto lock = m_lock.acquire();
+    m_node.leave(running.id, {response.status, {}, {}}, refusal);
+    return response;
+}
+
+HttpResponse EgressShell::leaveAnswered(const Running &running, CallReply reply)
+{
+    StoredAnswer answer{reply.status, std::move(reply.headers), std::move(reply.body)};
+    auto lock = m_lock.acquire();
+    m_node.leave(running.id, answer, {});
+    lock.unlock();
+    return toResponse(std::move(answer), running.rootId);
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/daemon/internal/egressshell.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "daemon/internal/nodelock.h"
+#include "transport/http.h"
+#include "transport/nodelink.h"
+
+#include <optional>
+
+namespace vanillatack {
+
+/// Runs the requests of outside callers and of the own upstream: asks the node what to do and does it.
+class EgressShell
+{
+public:
+    EgressShell(IClock &clock, NodeLock &lock, INode &node, INodeLink &link);
+
+    /// Blocks until the whole answer is there, the request is refused, or the caller hangs up.
+    HttpResponse run(const HttpRequest &request, const EntryRequest &entry, int callerSocket);
+
+private:
+    struct Running {
+        RequestId id;
+        std::string rootId;
+        TimePoint deadline;
+    };
+
+    /// A response that ends the request early, or nullopt to go on.
+    std::optional<HttpResponse> enter(const EntryRequest &entry, Running &running, bool &needsClaim);
+    std::optional<HttpResponse> claim(const HttpRequest &request, const Running &running);
+    HttpResponse attempt(const HttpRequest &request, const Running &running, int callerSocket);
+    HttpResponse leaveRefused(const Running &running, const Refusal &refusal);
+    HttpResponse leaveAnswered(const Running &running, CallReply reply);
+
+    IClock &m_clock;
+    NodeLock &m_lock;
+    INode &m_node;
+    INodeLink &m_link;
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/inidocument.h"
+#include "base/log.h"
+#include "model/ids.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillatack {
+
+/// Settings of one daemon, read from an INI file at start. See docs/settings.md.
+struct DaemonSettings {
+    // [node]
+    NodeName name;
+    ZoneName zone;
+    std::string address; ///< IPv4 address of this VM, used between nodes and for callers.
+    std::string localAddress = "127.0.0.1"; ///< Where the own upstream reaches the node.
+    std::uint16_t nodePort = 7400; ///< TCP and UDP between nodes.
+    std::uint16_t callerPort = 7480;
+    std::uint16_t localPort = 7481;
+    std::uint16_t adminPort = 7482;
+    std::uint16_t metricsPort = 7483;
+    int shareSlot = -1;
+    std::vector<Endpoint> seeds;
+
+    // [security]
+    std::string fleetSecret;
+    std::string operatorCredential;
+
+    // [platform]
+    bool embeddedPlatform = false;
+    Endpoint platform;
+
+    // [limits]
+    int maxConnections = 2000;
+    int maxHeadBytes = 32 * 1024;
+    int maxBodyBytes = 1024 * 1024;
+    Duration idleTimeout = std::chrono::seconds(60);
+    Duration drainPeriod = std::chrono::seconds(3); ///< Shortest time between the announcement of a shutdown and it.
+    Duration shutdownTimeout = std::chrono::seconds(30); ///< Longest time to wait for running requests.
+
+    // [log]
+    LogLevel logLevel = LogLevel::Info;
+};
+
+/// Reads and validates settings. Every problem is added to the list; nullopt when there are any.
+std::optional<DaemonSettings>
+parseDaemonSettings(std::string_view text, std::string_view file, std::vector<TextProblem> &problems);
+
+/// Parses "10.0.0.1:7400".
+std::optional<Endpoint> parseEndpoint(std::string_view text);
+
+} // namespace vanillatack
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -229,6 +229,14 @@
     std::int64_t tokens = 0; ///< Unused tokens that go back to the lender.
 };
 
+// ---- burn figures ------------------------------------------------------------------------------------------------
+
+/// Burn buckets of one node for the collector of its zone, as JSON of formatBurnCollection().
+struct BurnPush {
+    NodeName sender;
+    std::string content;
+};
+
 using ControlMessage = std::variant<Ping,
                                     PingIndirect,
                                     Ack,
@@ -239,7 +247,8 @@
                                     WithdrawalSync,
                                     BorrowRequest,
                                     BorrowGrant,
-                                    LoanReturn>;
+                                    LoanReturn,
+                                    BurnPush>;
 
 /// Sends control messages to other nodes. Messages can be lost, late, duplicated or out of order.
 class IMessageSender
--- /dev/null
+++ b/src/node/internal/ingress.cpp
@@ -0,0 +1,248 @@
+#include "node/internal/ingress.h"
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+constexpr std::size_t MaxLevelsPerReply = 16;
+constexpr int TooManyRequests = 429;
+constexpr int FirstServerError = 500;
+constexpr int ServiceUnavailable = 503;
+
+WorkOutcome workOutcome(const UpstreamEnd &end, bool innerFailed)
+{
+    if (end.cancelled) {
+        return WorkOutcome::Cancelled;
+    }
+    if (!end.complete) {
+        return WorkOutcome::Failed;
+    }
+    if (end.status < FirstServerError && end.status != TooManyRequests) {
+        return WorkOutcome::Succeeded;
+    }
+    if (innerFailed) {
+        // The cause is at a deeper service and says nothing about this upstream.
+        return WorkOutcome::Cancelled;
+    }
+    const bool shed = end.status == TooManyRequests || end.status == ServiceUnavailable;
+    return shed ? WorkOutcome::Overloaded : WorkOutcome::Failed;
+}
+
+void mergeLevel(std::vector<ServiceLevel> &levels, const ServiceLevel &level)
+{
+    const auto known = std::find_if(levels.begin(), levels.end(), [&level](const ServiceLevel &other) {
+        return other.service == level.service;
+    });
+    if (known != levels.end()) {
+        *known = level;
+    } else if (levels.size() < MaxLevelsPerReply) {
+        levels.push_back(level);
+    }
+}
+
+} // namespace
+
+Ingress::Ingress(IClock &clock, IRandom &random, IAdmission &admission, IAttemptLedger &ledger)
+    : m_clock(clock)
+    , m_random(random)
+    , m_admission(admission)
+    , m_ledger(ledger)
+{
+}
+
+IngressDecision Ingress::offer(const CallRequest &request, RequestId id, const Refusal &notServing)
+{
+    Record record;
+    record.request = id;
+    record.service = request.service;
+    record.context = {request.rootId,
+                      request.workspace,
+                      request.rootRoute,
+                      request.priority,
+                      request.depth,
+                      m_clock.now() + request.deadlineLeft};
+    m_ledger.open(id, request.allowance);
+    if (notServing.kind != RefusalKind::None) {
+        const CallReply reply = makeRefusal(record, notServing.kind, RunState::NotRun, notServing.retryAfter);
+        return {AdmissionOutcome::Refused, {}, reply};
+    }
+    const AdmissionDecision decision =
+        m_admission.offer({request.workspace, request.priority, request.depth > 0, record.context.deadline});
+    if (decision.outcome == AdmissionOutcome::Refused) {
+        const CallReply reply = makeRefusal(record, decision.refusal, RunState::NotRun, decision.retryAfter);
+        return {AdmissionOutcome::Refused, {}, reply};
+    }
+    const bool admitted = decision.outcome == AdmissionOutcome::Admitted;
+    record.state = admitted ? State::Admitted : State::Queued;
+    m_requests[id] = decision.ticket;
+    m_records[decision.ticket] = std::move(record);
+    return {decision.outcome, decision.ticket, {}};
+}
+
+void Ingress::admit(TicketId ticket)
+{
+    const auto record = m_records.find(ticket);
+    if (record != m_records.end()) {
+        record->second.state = State::Admitted;
+    }
+}
+
+void Ingress::refuse(TicketId ticket, RefusalKind kind, Duration retryAfter)
+{
+    const auto record = m_records.find(ticket);
+    if (record != m_records.end()) {
+        record->second.state = State::Refused;
+        record->second.refusal = makeRefusal(record->second, kind, RunState::NotRun, retryAfter);
+    }
+}
+
+std::optional<CallReply> Ingress::ticketRefusal(TicketId ticket)
+{
+    const auto record = m_records.find(ticket);
+    if (record == m_records.end() || record->second.state != State::Refused) {
+        return std::nullopt;
+    }
+    CallReply reply = std::move(record->second.refusal);
+    erase(ticket, record->second);
+    return reply;
+}
+
+bool Ingress::isAdmitted(TicketId ticket) const
+{
+    const auto record = m_records.find(ticket);
+    return record != m_records.end() && record->second.state == State::Admitted;
+}
+
+void Ingress::cancelTicket(TicketId ticket)
+{
+    const auto record = m_records.find(ticket);
+    if (record == m_records.end()) {
+        return;
+    }
+    if (record->second.state == State::Admitted) {
+        m_admission.finish(ticket, WorkOutcome::Cancelled, Duration::zero());
+    } else if (record->second.state == State::Queued) {
+        m_admission.cancel(ticket);
+    }
+    m_ledger.close(record->second.request);
+    erase(ticket, record->second);
+}
+
+IngressStart Ingress::start(TicketId ticket, const Endpoint &upstream)
+{
+    Record &record = m_records.at(ticket);
+    record.state = State::Started;
+    record.startedAt = m_clock.now();
+    record.token = m_random.hexToken();
+    m_tokens[record.token] = ticket;
+    return {upstream, record.token, record.context.deadline, record.context.workspace};
+}
+
+CallReply Ingress::finish(TicketId ticket, const UpstreamEnd &end)
+{
+    const auto found = m_records.find(ticket);
+    Record record = std::move(found->second);
+    erase(ticket, record);
+    const TimePoint now = m_clock.now();
+    if (record.innerCalls > 0) {
+        record.innerTime += now - record.innerSince;
+    }
+    const Duration ownTime = now - record.startedAt - record.innerTime;
+    m_admission.finish(ticket, workOutcome(end, record.innerFailed), ownTime);
+    return describeEnd(record, end);
+}
+
+CallReply Ingress::describeEnd(const Record &record, const UpstreamEnd &end)
+{
+    if (end.complete) {
+        CallReply reply;
+        reply.runState = RunState::Ran;
+        reply.status = end.status;
+        reply.refusedDeeper = record.innerFailed && end.status >= FirstServerError;
+        reply.allowanceReturned = m_ledger.close(record.request);
+        addLevels(reply, record);
+        return reply;
+    }
+    const RunState runState = end.sentAnything ? RunState::Unknown : RunState::NotRun;
+    if (end.cancelled) {
+        return makeRefusal(record, RefusalKind::Cancelled, runState, Duration::zero());
+    }
+    if (end.timedOut) {
+        return makeRefusal(record, RefusalKind::DeadlineExceeded, runState, Duration::zero());
+    }
+    const RefusalKind kind = end.sentAnything ? RefusalKind::BadUpstreamReply : RefusalKind::UpstreamFailed;
+    return makeRefusal(record, kind, runState, Duration::zero());
+}
+
+CallReply Ingress::makeRefusal(const Record &record, RefusalKind kind, RunState runState, Duration retryAfter)
+{
+    CallReply reply;
+    reply.refusal = kind;
+    reply.runState = runState;
+    reply.retryAfter = retryAfter;
+    reply.allowanceReturned = m_ledger.close(record.request);
+    addLevels(reply, record);
+    return reply;
+}
+
+void Ingress::addLevels(CallReply &reply, const Record &record) const
+{
+    ServiceLevel own = m_admission.level();
+    own.service = record.service;
+    reply.levels = record.levels;
+    mergeLevel(reply.levels, own);
+}
+
+void Ingress::erase(TicketId ticket, const Record &record)
+{
+    m_tokens.erase(record.token);
+    m_requests.erase(record.request);
+    m_records.erase(ticket);
+}
+
+std::optional<InnerCallParent> Ingress::findParent(const std::string &token) const
+{
+    const auto ticket = m_tokens.find(token);
+    if (ticket == m_tokens.end()) {
+        return std::nullopt;
+    }
+    const Record &record = m_records.at(ticket->second);
+    return InnerCallParent{record.request, record.context};
+}
+
+void Ingress::beginInnerCall(RequestId parent)
+{
+    const auto ticket = m_requests.find(parent);
+    if (ticket == m_requests.end()) {
+        return;
+    }
+    Record &record = m_records.at(ticket->second);
+    if (record.innerCalls++ == 0) {
+        record.innerSince = m_clock.now();
+    }
+}
+
+void Ingress::endInnerCall(RequestId parent, bool failed, const std::vector<ServiceLevel> &levels)
+{
+    const auto ticket = m_requests.find(parent);
+    if (ticket == m_requests.end()) {
+        return;
+    }
+    Record &record = m_records.at(ticket->second);
+    if (--record.innerCalls == 0) {
+        record.innerTime += m_clock.now() - record.innerSince;
+    }
+    record.innerFailed |= failed;
+    for (const ServiceLevel &level : levels) {
+        mergeLevel(record.levels, level);
+    }
+}
+
+std::size_t Ingress::size() const
+{
+    return m_records.size();
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/node/internal/node.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "documents/documentssetup.h"
+#include "node/internal/burnarchive.h"
+#include "node/internal/egress.h"
+#include "node/internal/ingress.h"
+#include "node/internal/upstreamlife.h"
+#include "node/nodesetup.h"
+
+namespace vanillatack {
+
+/// Joins the decision parts of one node and passes their notifications on.
+class Node final : public INode,
+                   private IAdmissionListener,
+                   private IMembershipListener,
+                   private IDocumentsListener,
+                   private IDocumentPeers,
+                   private IQuotaListener
+{
+public:
+    Node(const NodeEnvironment &environment, const SelfDescription &self);
+
+    void tick() override;
+    void receive(const Endpoint &from, const ControlMessage &message) override;
+
+    EntryDecision enter(const EntryRequest &request) override;
+    EntryDecision resumeEntry(RequestId request, bool lastTry) override;
+    void claim(RequestId request, const std::string &requestDigest, IClaims::ClaimCompletion done) override;
+    AttemptPlan planAttempt(RequestId request) override;
+    AttemptVerdict endAttempt(RequestId request, CallId call, AttemptEnd end, const CallReply &reply) override;
+    void leave(RequestId request, const StoredAnswer &answer, const Refusal &refusal) override;
+
+    IngressDecision offer(const CallRequest &request) override;
+    std::optional<CallReply> ticketRefusal(TicketId ticket) override;
+    [[nodiscard]] bool isAdmitted(TicketId ticket) const override;
+    void cancelTicket(TicketId ticket) override;
+    IngressStart start(TicketId ticket) override;
+    CallReply finish(TicketId ticket, const UpstreamEnd &end) override;
+
+    Result<void> announce(const UpstreamAnnouncement &announcement) override;
+    void setOperatorDrain(bool draining) override;
+    void startShutdown() override;
+    void leaveFleet() override;
+
+    [[nodiscard]] bool isReady(std::string &reason) const override;
+    [[nodiscard]] bool isDraining() const override;
+    [[nodiscard]] bool isCutOff() const override;
+    void collectBurn(std::int64_t fromMinute,
+                     std::int64_t toMinute,
+                     std::function<void(Result<CollectedBurn>)> done) override;
+    [[nodiscard]] std::size_t requestsInProgress() const override;
+    [[nodiscard]] UpstreamStatus upstream() const override;
+    [[nodiscard]] std::vector<RefusalRecord> recentRefusals() const override;
+    [[nodiscard]] const FleetConfig &config() const override;
+    IDocuments &documents() override;
+    IKeyring &keyring() override;
+    IMembership &membership() override;
+    IQuota &quota() override;
+    IRouter &router() override;
+    IBurnCounters &burn() override;
+
+private:
+    void onAdmitted(TicketId ticket) override;
+    void onRefused(TicketId ticket, RefusalKind refusal, Duration retryAfter) override;
+    void onServiceChanged(const ServiceName &service, const std::vector<Member> &instances) override;
+    void onPeerVersions(const Endpoint &peer, const StateVersions &versions) override;
+    void onDocument(DocumentKind kind, const DocumentVersion &document) override;
+    void onWithdrawals(const std::vector<WithdrawnKey> &added) override;
+    [[nodiscard]] std::vector<Endpoint> spreadTargets(std::size_t count) override;
+    [[nodiscard]] bool isAmongLowest(std::size_t count) const override;
+    void onTokens(const WorkspaceName &workspace) override;
+
+    DocumentsSettings documentsSettings();
+    void applyConfiguration(const DocumentVersion &document);
+    void applyKeys(const DocumentVersion &document);
+    void configureAdmission();
+    void updateQuota();
+    [[nodiscard]] ShareFraction ownShare() const;
+    void updateUpstream();
+    void updateGauges();
+    void updateQuotaGauges();
+    [[nodiscard]] Refusal notServing(const CallRequest &request) const;
+    /// The node that collects the burn figures of the zone: the lowest name alive.
+    [[nodiscard]] Member zoneCollector() const;
+    RequestId nextRequest();
+
+    NodeEnvironment m_environment;
+    const SelfDescription m_self;
+    const TimePoint m_startedAt;
+    FleetConfig m_config;
+    std::unique_ptr<IAttemptLedger> m_ledger;
+    std::unique_ptr<IRetryBudget> m_retryBudget;
+    std::unique_ptr<IAdmission> m_admission;
+    std::unique_ptr<IRouter> m_router;
+    std::unique_ptr<IMembership> m_membership;
+    std::unique_ptr<IKeyring> m_keyring;
+    std::unique_ptr<IDocuments> m_documents;
+    std::unique_ptr<IQuota> m_quota;
+    std::unique_ptr<IClaims> m_claims;
+    std::unique_ptr<IBurnCounters> m_burn;
+    BurnArchive m_burnArchive;
+    UpstreamLife m_upstream;
+    Ingress m_ingress;
+    Egress m_egress;
+    std::uint64_t m_lastRequest = 0;
+    bool m_shuttingDown = false;
+    TimePoint m_nextMinorTick;
+    TimePoint m_nextSecond;
+    ShareFraction m_share;
+    std::map<WorkspaceName, WorkspaceQuota> m_quotas;
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/node/nodesetup.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/random.h"
+#include "metrics/imetrics.h"
+#include "node/inode.h"
+#include "platform/iobjectstore.h"
+#include "platform/itableservice.h"
+#include "statechart/statechart.h"
+
+#include <memory>
+
+namespace vanillatack {
+
+/// What a node needs from outside. All of it must outlive the node.
+struct NodeEnvironment {
+    IClock &clock;
+    IRandom &random;
+    IMessageSender &sender;
+    ITableService &table;
+    IObjectStore &objects;
+    IMetrics &metrics;
+    INodeListener &listener;
+    const StateChart &upstreamChart; ///< charts/upstream.chart.
+};
+
+std::unique_ptr<INode> makeNode(const NodeEnvironment &environment, const SelfDescription &self);
+
+} // namespace vanillatack
--- a/src/transport/internal/httpedge.cpp
+++ b/src/transport/internal/httpedge.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int ListenBacklog = 1024;
+constexpr std::size_t KeepAliveMaxRequests = 1'000'000;
 
 // The library compresses bodies itself when it sees this header; the upstream's encoding must pass unchanged.
 constexpr const char *AcceptEncoding = "Accept-Encoding";
@@ -119,6 +120,9 @@
         addHandlers();
         set_payload_max_length(settings.maxBodyBytes);
         set_tcp_nodelay(true);
+        // For the Keep-Alive header of responses; the loop over requests is this class's own.
+        set_keep_alive_max_count(KeepAliveMaxRequests);
+        set_keep_alive_timeout(std::chrono::duration_cast<std::chrono::seconds>(settings.idleTimeout).count());
         new_task_queue = [this] {
             return new TaskQueue(m_threads, m_idle); // Deleted by the library.
         };
--- a/src/wire/internal/controlcodec.cpp
+++ b/src/wire/internal/controlcodec.cpp
@@ -332,6 +332,18 @@
     return {NodeName(toString(in.getSender())), LoanId{in.getLoan()}, in.getLenderIncarnation(), in.getTokens()};
 }
 
+void writeMessage(schema::Control::Builder out, const BurnPush &in)
+{
+    auto message = out.initBurnPush();
+    message.setSender(in.sender.value);
+    message.setContent(toData(in.content));
+}
+
+BurnPush read(schema::BurnPush::Reader in)
+{
+    return {NodeName(toString(in.getSender())), toString(in.getContent())};
+}
+
 ControlMessage readMessage(schema::Control::Reader in)
 {
     switch (in.which()) {
@@ -357,6 +369,8 @@
         return read(in.getBorrowGrant());
     case schema::Control::LOAN_RETURN:
         return read(in.getLoanReturn());
+    case schema::Control::BURN_PUSH:
+        return read(in.getBurnPush());
     }
     throw DecodeFailure("unknown kind of control message");
 }
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -163,6 +163,11 @@
   tokens @3 :Int64;
 }
 
+struct BurnPush {
+  sender @0 :Text;
+  content @1 :Data;
+}
+
 # Starts a connection: the client's nonce, then the server's nonce and proof, then the client's proof.
 struct Hello {
   nonce @0 :Data;
@@ -193,6 +198,7 @@
     borrowRequest @10 :BorrowRequest;
     borrowGrant @11 :BorrowGrant;
     loanReturn @12 :LoanReturn;
+    burnPush @13 :BurnPush;
   }
 }
 
