--- a/src/admin/tests/fakeadminservice.h
+++ b/src/admin/tests/fakeadminservice.h
@@ -31,7 +31,8 @@
 
     Result<ConfigHistory> configHistory(int limit) override
     {
-        return counted(ConfigHistory{std::vector<ConfigHistoryEntry>(static_cast<std::size_t>(limit))});
+        const std::vector<ConfigHistoryEntry> unset(static_cast<std::size_t>(limit));
+        return counted(history.entries.empty() ? ConfigHistory{unset} : history);
     }
 
     Result<WorkspaceList> listWorkspaces() override
@@ -90,6 +91,7 @@
 
     ConfigDocument config{4, "d4", "[zone a]\nregion = r\n"};
     std::optional<Error> applyError;
+    ConfigHistory history; ///< When empty, as many blank entries as asked for.
     WorkspaceList workspaces;
     bool stored = true;
     ZoneConfirmation zoneState = ZoneConfirmation::Confirmed;
