Answer borrowers after the collection of small shares

Cause: a collecting owner refused a first request although the tokens arrived two milliseconds later. Change: such requests are answered when shares arrive, at the latest after 30 ms.

--- a/src/quota/internal/quotaborrowing.cpp
+++ b/src/quota/internal/quotaborrowing.cpp
@@ -212,6 +212,13 @@
     }
 }
 
+bool QuotaService::isAsking(const Workspace &workspace) const
+{
+    return std::any_of(workspace.asks.begin(), workspace.asks.end(), [](const auto &entry) {
+        return entry.second.sequence != 0;
+    });
+}
+
 bool QuotaService::isLoanOnItsWay(const Workspace &workspace, TimePoint now) const
 {
     for (const auto &[lender, ask] : workspace.asks) {
@@ -298,6 +305,7 @@
     }
     ask.pause = useful ? Duration(ShortestPause) : std::clamp<Duration>(ask.pause * 2, ShortestPause, longestPause());
     ask.notBefore = now + ask.pause;
+    serveDeferred(workspace, now);
     notifyWaiting(workspace, now);
 }
 
--- a/src/quota/internal/quotalending.cpp
+++ b/src/quota/internal/quotalending.cpp
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <utility>
+
 namespace vanillatack {
 
 namespace {
@@ -16,6 +18,10 @@
 // it, instead of buckets that are mostly full.
 constexpr std::int64_t RateLoanFrom = 5 * TokensPerRequest;
 
+// A request that cannot be granted is answered this much later when shares are being collected meanwhile; below the
+// time after which the borrower gives the request up.
+constexpr std::chrono::milliseconds DeferredAnswerTime{30};
+
 // Terms tried in percent of the longest. Shorter ones fit under the ends of loans that this lender holds itself.
 constexpr int TermPercents[] = {100, 70, 45, 25};
 
@@ -29,6 +35,20 @@
     return result;
 }
 
+BorrowGrant makeGrant(const NodeName &self, std::uint64_t sequence, const std::vector<LoanItem> &items)
+{
+    const LoanItem &first = items.front();
+    return {.sender = self,
+            .sequence = sequence,
+            .loan = first.loan,
+            .workspace = first.workspace,
+            .rate = first.rate,
+            .burst = first.burst,
+            .tokens = first.tokens,
+            .term = first.term,
+            .more = {items.begin() + 1, items.end()}};
+}
+
 LoanItem refusal(const WorkspaceName &workspace)
 {
     LoanItem item;
@@ -80,28 +100,39 @@
     std::vector<LoanItem> items{
         {message.workspace, message.rate, message.burst, message.tokens, message.held, Duration{0}}};
     items.insert(items.end(), message.more.begin(), message.more.end());
-    BorrowGrant reply;
-    reply.sender = m_self;
-    reply.sequence = message.sequence;
     std::vector<LoanItem> grants;
     for (const LoanItem &item : items) {
         LoanItem grant = serve(message, item, now);
-        if (!grant.workspace.empty()) {
+        if (grant.workspace.empty()) {
+            continue;
+        }
+        Workspace &workspace = m_workspaces.at(item.workspace);
+        if (grant.loan.value == 0 && isPooled(workspace) && isLender(workspace, now) && isAsking(workspace)) {
+            workspace.deferred.push_back(
+                {message.replyTo, message.sender, message.sequence, item, now + DeferredAnswerTime});
+        } else {
             grants.push_back(std::move(grant));
         }
     }
-    if (grants.empty()) {
-        return;
+    if (!grants.empty()) {
+        m_sender.send(message.replyTo, makeGrant(m_self, message.sequence, grants));
+    }
+}
+
+/// Answers requests for which shares have arrived, and those that waited long enough.
+void QuotaService::serveDeferred(Workspace &workspace, TimePoint now)
+{
+    std::vector<Deferred> left;
+    for (Deferred &request : std::exchange(workspace.deferred, {})) {
+        const BorrowerKey borrower{request.sender, request.sequence >> IncarnationShift};
+        const LoanItem grant = serveNode(workspace, borrower, request.item, now);
+        if (grant.loan.value == 0 && now < request.until && isAsking(workspace)) {
+            left.push_back(std::move(request));
+        } else {
+            m_sender.send(request.replyTo, makeGrant(m_self, request.sequence, {grant}));
+        }
     }
-    const LoanItem &first = grants.front();
-    reply.loan = first.loan;
-    reply.workspace = first.workspace;
-    reply.rate = first.rate;
-    reply.burst = first.burst;
-    reply.tokens = first.tokens;
-    reply.term = first.term;
-    reply.more.assign(grants.begin() + 1, grants.end());
-    m_sender.send(message.replyTo, reply);
+    workspace.deferred = std::move(left);
 }
 
 /// The grant for one workspace of a request; without a workspace name when the request is old or the workspace unknown.
@@ -117,12 +148,15 @@
     if (!workspace.book.beginRequest(borrower, message.sequence, item.loan)) {
         return {};
     }
+    std::erase_if(workspace.deferred, [&](const Deferred &request) {
+        return request.sender == message.sender;
+    });
     const bool collects = isPooled(workspace) && isLender(workspace, now);
     const bool fromOwner = m_owners.isOwner(message.sender) && !collects;
     workspace.wants[message.sender] = {{item.rate, item.burst}, borrower.incarnation, fromOwner, now};
     LoanItem grant = fromOwner ? serveOwner(workspace, borrower, item, now) : serveNode(workspace, borrower, item, now);
     if (!fromOwner && grant.burst < item.burst) {
-        // Collects from other owners at once instead of at the next tick, since the borrower will ask again soon.
+        // Collects from other owners at once instead of at the next tick, since a request may wait.
         Batches batches;
         borrow(workspace, now, batches);
         sendBatches(batches, now);
--- a/src/quota/internal/quotaservice.cpp
+++ b/src/quota/internal/quotaservice.cpp
@@ -193,6 +193,7 @@
             return now - entry.second.at > 2 * m_settings.term;
         });
         noteTimeouts(workspace, now);
+        serveDeferred(workspace, now);
         borrow(workspace, now, batches);
         notifyWaiting(workspace, now);
     }
--- a/src/quota/internal/quotaservice.h
+++ b/src/quota/internal/quotaservice.h
@@ -55,6 +55,15 @@
         TimePoint at;
     };
 
+    /// A request that waits for shares that are being collected.
+    struct Deferred {
+        Endpoint replyTo;
+        NodeName sender;
+        std::uint64_t sequence = 0;
+        LoanItem item;
+        TimePoint until;
+    };
+
     struct Workspace {
         WorkspaceName name;
         WorkspaceQuota fleet; ///< Zero when the configuration no longer has it.
@@ -63,6 +72,7 @@
         Demand demand;
         std::map<NodeName, Ask> asks;
         std::map<NodeName, Want> wants;
+        std::vector<Deferred> deferred;
         TimePoint waitingUntil; ///< A caller probably waits for a token until then.
         int waiting = 0; ///< Requests that were told to wait since tokens last arrived.
         int retries = 0; ///< Of these requests after tokens arrived; not counted as demand again.
@@ -101,11 +111,13 @@
     [[nodiscard]] bool isIdle(const Workspace &workspace, TimePoint now) const;
     [[nodiscard]] Duration longestPause() const;
     [[nodiscard]] Duration answerTimeout(const NodeName &lender) const;
+    [[nodiscard]] bool isAsking(const Workspace &workspace) const;
     [[nodiscard]] bool isLoanOnItsWay(const Workspace &workspace, TimePoint now) const;
 
     // ---- lender
     [[nodiscard]] QuotaAmount lentToOwners(const Workspace &workspace) const;
     bool takeRequestAllowance(TimePoint now);
+    void serveDeferred(Workspace &workspace, TimePoint now);
     LoanItem serve(const BorrowRequest &message, const LoanItem &item, TimePoint now);
     LoanItem serveNode(Workspace &workspace, const BorrowerKey &borrower, const LoanItem &item, TimePoint now);
     LoanItem
--- a/src/quota/tests/quota_tests.cpp
+++ b/src/quota/tests/quota_tests.cpp
@@ -95,7 +95,7 @@
     fleet->run(2s);
     report("calm, first 2 s, large", fleet->takeFigures(Large));
     report("calm, first 2 s, small", fleet->takeFigures(Small));
-    fleet->run(60s);
+    fleet->run(200s);
     CHECK(report("calm, large at 70%", fleet->takeFigures(Large)) <= 1);
     CHECK(report("calm, small at 68%", fleet->takeFigures(Small)) <= 1);
 }
