--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -78,7 +78,7 @@
 [log]
 level = $level
 SETTINGS
-    start "$name" "$BUILD/src/daemon/vanillatackd" "$RUN_DIR/$name.ini"
+    start "$name" "$BUILD/vanillatackd" "$RUN_DIR/$name.ini"
 }
 
 is_ready() { # ADDRESS
