Refill pools of owners that run dry

Cause: an owner whose nodes need more than its share borrowed rate without burst, and tokens come with burst only. Change: an owner with a pool below a quarter of the wanted burst asks for more of both; token loans are renewed while plentiful.

--- a/src/quota/internal/demand.cpp
+++ b/src/quota/internal/demand.cpp
@@ -62,7 +62,7 @@
     // Deviations of random arrivals grow with the square root of their number. The rate has little room, because room
     // in the pool of the lender serves all its borrowers.
     const double rate = 1.1 * demand + 0.3 * std::sqrt(demand);
-    const double burst = 1 + 0.25 * demand + 1.5 * std::sqrt(demand);
+    const double burst = 1 + 0.25 * demand + std::sqrt(demand);
     return {static_cast<std::int64_t>(rate * static_cast<double>(TokensPerRequest)),
             static_cast<std::int64_t>(burst * static_cast<double>(TokensPerRequest))};
 }
--- a/src/quota/internal/quotaborrowing.cpp
+++ b/src/quota/internal/quotaborrowing.cpp
@@ -81,8 +81,8 @@
     }
     const QuotaAmount want = ownWant(workspace, now);
     const bool due = holds && ask.renewAt <= now;
-    // Tokens that nobody took until then serve other nodes better.
-    const bool unspent = due && held->second.amount.rate == 0 && !spent;
+    // Scarce tokens that nobody took until then serve other nodes better.
+    const bool unspent = due && ask.scarce && held->second.amount.rate == 0 && !spent;
     const bool grown = want.rate > ask.amount.rate + ask.amount.rate / 2;
     const bool low = book.tokens() < std::max(TokensPerRequest, scaled(want.rate, StockMilliseconds, 1000));
     const bool needed = workspace.waitingUntil > now || (want.rate >= PrefetchFrom && !ask.scarce);
@@ -108,9 +108,14 @@
     for (const auto &[lender, loan] : workspace.book.heldLoans()) {
         total += loan.lendable;
     }
-    const QuotaAmount missing = want - total;
+    QuotaAmount missing = want - total;
+    if (workspace.book.tokens() < want.burst / 4) {
+        // The pool runs dry although its rate suffices on average. Tokens come with burst only.
+        missing.burst = std::max(missing.burst, want.burst / 2);
+        missing.rate = std::max(missing.rate, want.rate / 8);
+    }
     // Small differences are left alone, since the estimate of the demand moves all the time.
-    const std::int64_t least = isPooled(workspace) ? 0 : TokensPerRequest;
+    const std::int64_t least = isPooled(workspace) ? 0 : 2 * TokensPerRequest;
     if (missing.rate > std::max(want.rate / 16, least) || missing.burst > std::max(want.burst / 16, least)) {
         collect(workspace, positive(missing), now, batches);
     }
--- a/src/quota/internal/quotalending.cpp
+++ b/src/quota/internal/quotalending.cpp
@@ -210,15 +210,16 @@
                                   bool scarce,
                                   TimePoint now)
 {
-    const std::int64_t wanted = std::min(scarce ? TokensPerRequest : item.burst, workspace.book.tokens());
-    for (const Duration term : {m_settings.term / 2, Duration(ScarceTokenTerm)}) {
-        if (scarce && term > ScarceTokenTerm) {
-            continue;
-        }
-        const std::int64_t tokens = std::min(wanted, workspace.book.available(borrower, lenderEnd(now, term)).burst);
-        const std::int64_t whole = tokens - tokens % TokensPerRequest;
-        if (whole > 0 && item.tokens > 0) {
-            return lend(workspace, borrower, {0, whole}, whole, term, now);
+    const std::int64_t wanted = scarce ? TokensPerRequest : item.burst;
+    for (const int percent : TermPercents) {
+        const Duration term =
+            std::min<Duration>(m_settings.term * percent / 100, scarce ? ScarceTokenTerm : m_settings.term);
+        const std::int64_t burst = std::min(wanted, workspace.book.available(borrower, lenderEnd(now, term)).burst);
+        const std::int64_t whole = burst - burst % TokensPerRequest;
+        const std::int64_t tokens = std::min(std::max(item.tokens, TokensPerRequest), workspace.book.tokens());
+        // Without a token the loan helps only a borrower that still has some.
+        if (whole > 0 && (tokens >= TokensPerRequest || (item.loan.value != 0 && !scarce))) {
+            return lend(workspace, borrower, {0, whole}, tokens, term, now);
         }
     }
     return refusal(workspace.name);
--- a/src/quota/tests/fakefleet.cpp
+++ b/src/quota/tests/fakefleet.cpp
@@ -103,6 +103,7 @@
     TimePoint stoppedAt = TimePoint::max();
     std::deque<Caller> callers;
     std::uint64_t bytes = 0;
+    TimePoint ownersSetAt;
 
     void send(const Endpoint &to, const ControlMessage &message) override
     {
@@ -207,6 +208,7 @@
     node.incarnation = std::max(node.incarnation + 1, static_cast<std::uint64_t>(now().time_since_epoch() / 1ms));
     node.stoppedAt = TimePoint::max();
     node.pausedUntil = {};
+    node.ownersSetAt = {};
     node.quota.reset();
     node.clock = std::make_unique<DriftingClock>(m_clock, drift, Duration(std::chrono::seconds(m_random.below(100))));
     node.random = std::make_unique<SeededRandom>(m_random.next());
@@ -229,7 +231,10 @@
         return;
     }
     if (node.pausedUntil <= now()) {
-        node.quota->setOwners(ownersFor(index));
+        if (now() - node.ownersSetAt > 1s) {
+            node.ownersSetAt = now();
+            node.quota->setOwners(ownersFor(index));
+        }
         node.quota->tick();
         dropCallers(node);
     }
@@ -296,20 +301,24 @@
 void FakeFleet::setDemand(const WorkspaceName &workspace, int zone, double perNodeAndSecond)
 {
     for (int node = 0; node < nodeCount(); ++node) {
-        if (zone >= 0 && zoneOf(node) != zone) {
-            continue;
-        }
-        auto &[demand, epoch] = m_references.at(workspace)->demand[node];
-        demand = perNodeAndSecond;
-        const std::uint64_t current = ++epoch;
-        if (demand > 0) {
-            at(now() + Duration(static_cast<std::int64_t>(m_random.fraction() * 1e9 / demand)), [=, this] {
-                arrive(node, workspace, current);
-            });
+        if (zone < 0 || zoneOf(node) == zone) {
+            setNodeDemand(workspace, node, perNodeAndSecond);
         }
     }
 }
 
+void FakeFleet::setNodeDemand(const WorkspaceName &workspace, int node, double perSecond)
+{
+    auto &[demand, epoch] = m_references.at(workspace)->demand[node];
+    demand = perSecond;
+    const std::uint64_t current = ++epoch;
+    if (demand > 0) {
+        at(now() + Duration(static_cast<std::int64_t>(m_random.fraction() * 1e9 / demand)), [=, this] {
+            arrive(node, workspace, current);
+        });
+    }
+}
+
 void FakeFleet::arrive(int index, const WorkspaceName &workspace, std::uint64_t epoch)
 {
     Reference &reference = *m_references.at(workspace);
--- a/src/quota/tests/fakefleet.h
+++ b/src/quota/tests/fakefleet.h
@@ -81,6 +81,7 @@
     void setReference(const WorkspaceName &workspace, const WorkspaceQuota &quota, bool fill);
     /// Requests per second at each node of a zone; -1 for all zones.
     void setDemand(const WorkspaceName &workspace, int zone, double perNodeAndSecond);
+    void setNodeDemand(const WorkspaceName &workspace, int node, double perSecond);
     void run(Duration duration);
     void pause(int node, Duration duration);
     void stop(int node);
--- a/src/quota/tests/quota_tests.cpp
+++ b/src/quota/tests/quota_tests.cpp
@@ -166,6 +166,76 @@
     CHECK(report("owner lost at 60%, the next 25 s", fleet->takeFigures(Large)) <= 1);
 }
 
+// Guards against messages that grow with the fleet. With VT_FIGURES=1 up to the design scale, otherwise a small fleet.
+TEST(Quota, messagesPerNodeStayBounded)
+{
+    const bool figures = std::getenv("VT_FIGURES") != nullptr;
+    struct Size {
+        int zones, nodesPerZone, sharesPerZone, workspaces;
+    };
+    std::vector<Size> sizes{{3, 10, 2, 20}};
+    if (figures) {
+        sizes.insert(sizes.end(),
+                     {{3, 40, 2, 30}, {6, 60, 2, 60}, {13, 100, 4, 200}, {13, 192, 2, 300}, {13, 192, 4, 300}});
+    }
+    for (const Size &size : sizes) {
+        options.zones = size.zones;
+        options.nodesPerZone = size.nodesPerZone;
+        options.sharesPerZone = size.sharesPerZone;
+        const int nodes = size.zones * size.nodesPerZone;
+        // Ten workspaces are active at a node with 2 requests/s each; every other workspace is ten times larger.
+        const auto name = [](int index) {
+            return WorkspaceName("workspace-" + std::to_string(index));
+        };
+        const auto perNode = [](int index) {
+            return index % 2 == 0 ? 2.0 : 20.0;
+        };
+        std::map<WorkspaceName, WorkspaceQuota> quotas;
+        for (int index = 0; index < size.workspaces; ++index) {
+            const auto rate = static_cast<std::int64_t>(perNode(index) * nodes * 10 / size.workspaces / 0.7);
+            quotas[name(index)] = requests(rate, rate);
+        }
+        const auto fleet = startedFleet(quotas, 6);
+        for (int node = 0; node < nodes; ++node) {
+            for (int active = 0; active < 10; ++active) {
+                const int index = (node * 7 + active) % size.workspaces;
+                fleet->setNodeDemand(name(index), node, perNode(index));
+            }
+        }
+        fleet->run(5s);
+        for (const auto &[workspace, quota] : quotas) {
+            fleet->takeFigures(workspace);
+        }
+        fleet->run(5s);
+        FleetFigures total;
+        const std::uint64_t busiest = fleet->busiestNodeBytes() / 5;
+        for (const auto &[workspace, quota] : quotas) {
+            const FleetFigures part = fleet->takeFigures(workspace);
+            total.arrivals += part.arrivals;
+            total.admitted += part.admitted;
+            total.central += part.central;
+            total.refusedInside += part.refusedInside;
+            total.messages += part.messages;
+            total.bytes += part.bytes;
+        }
+        const std::uint64_t bytesPerNode = 2 * total.bytes / 5 / static_cast<std::uint64_t>(nodes);
+        if (figures) {
+            std::printf("\n%d nodes, %d zones, %d shares each, %d workspaces: %.1f messages/s sent and %llu bytes/s "
+                        "sent and received per node, busiest node %llu bytes/s",
+                        nodes,
+                        size.zones,
+                        size.sharesPerZone,
+                        size.workspaces,
+                        static_cast<double>(total.messages) / 5 / nodes,
+                        static_cast<unsigned long long>(bytesPerNode),
+                        static_cast<unsigned long long>(busiest));
+        }
+        CHECK(report("all workspaces at 70%", total) <= 1);
+        CHECK(bytesPerNode < 6000);
+        CHECK(busiest < 60'000);
+    }
+}
+
 // Guards against any interleaving of faults that admits more than rate x time + burst; the fleet aborts then.
 TEST(Quota, neverExceedsTheQuotaUnderFaults)
 {
