--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -135,6 +135,72 @@
     LONGS_EQUAL(0, simulation.admission->snapshot().running);
 }
 
+// Runs random calls, with the invariants of Admission as the check. Guards against tickets that are told twice or
+// never, and against settings that change while requests wait.
+TEST(Admission, everyTicketEndsOnce)
+{
+    struct Listener : IAdmissionListener {
+        std::vector<std::uint64_t> waiting;
+        std::vector<std::uint64_t> running;
+
+        void stopWaiting(TicketId ticket)
+        {
+            const auto position = std::find(waiting.begin(), waiting.end(), ticket.value);
+            CHECK(position != waiting.end());
+            waiting.erase(position);
+        }
+        void onAdmitted(TicketId ticket) override
+        {
+            stopWaiting(ticket);
+            running.push_back(ticket.value);
+        }
+        void onRefused(TicketId ticket, RefusalKind /*refusal*/, Duration /*retryAfter*/) override
+        {
+            stopWaiting(ticket);
+        }
+    } listener;
+    ManualClock clock;
+    SeededRandom random{testSeed()};
+    AdmissionSettings settings;
+    settings.queueLimit = 30;
+    const auto admission = makeAdmission(clock, listener, settings);
+    for (std::uint64_t step = 0; step < settingOr("VT_ROUNDS", 100) * 1000; ++step) {
+        clock.advance(Duration(random.below(4'000'000)));
+        const std::uint64_t action = random.below(1000);
+        if (action < 500) {
+            const auto decision = admission->offer({WorkspaceName(std::to_string(random.below(5))),
+                                                    static_cast<PriorityClass>(random.below(4)),
+                                                    random.below(2) == 0,
+                                                    clock.now() + Duration(random.below(2'000'000'000))});
+            if (decision.outcome == AdmissionOutcome::Admitted) {
+                listener.running.push_back(decision.ticket.value);
+            } else if (decision.outcome == AdmissionOutcome::Queued) {
+                listener.waiting.push_back(decision.ticket.value);
+            }
+        } else if (action < 900 && !listener.running.empty()) {
+            std::swap(listener.running[random.below(listener.running.size())], listener.running.back());
+            const TicketId ticket{listener.running.back()};
+            listener.running.pop_back();
+            admission->finish(ticket, static_cast<WorkOutcome>(random.below(4)), Duration(random.below(90'000'000)));
+        } else if (action < 940 && !listener.waiting.empty()) {
+            admission->cancel(TicketId{listener.waiting.back()});
+            listener.waiting.pop_back();
+        } else if (action < 990) {
+            admission->tick();
+        } else if (action < 994) {
+            settings.queueLimit = static_cast<int>(random.below(40));
+            admission->configure(settings);
+        } else if (action < 998) {
+            admission->setDraining(action % 2 == 0);
+        } else {
+            admission->setAnnouncedSlots(static_cast<int>(random.below(60)));
+            admission->startCold();
+        }
+        LONGS_EQUAL(listener.waiting.size(), admission->snapshot().queued);
+        LONGS_EQUAL(listener.running.size(), admission->snapshot().running);
+    }
+}
+
 TEST_GROUP(WaitingQueue)
 {
     using Reference = std::map<std::uint64_t, WaitingRequest>;
