Contact the relays of the other half of a split zone at once

Cause: with seed 631 the halves of a split zone replaced each other's digest every few seconds and saw the other's relays only between two contacts. Change: a relay pings unknown relays named in a digest of its own zone. Before: seed 631 did not return to the central list within 90 s.

--- a/src/membership/internal/zoneexchange.cpp
+++ b/src/membership/internal/zoneexchange.cpp
@@ -296,6 +296,7 @@
     }
     if (content == ContentResult::Applied) {
         m_state.changedServices.insert(changed.begin(), changed.end());
+        contactStrangers(*record);
         ZoneDigest passedOn = message;
         passedOn.sender = m_state.self.node;
         // Whole digests are large; those who miss one ask for it after the next heartbeat.
@@ -311,6 +312,21 @@
     }
 }
 
+void ZoneExchange::contactStrangers(const ZoneRecord &record)
+{
+    const std::vector<NodeName> own = m_state.relayNames(m_state.settings.relays);
+    if (record.zone != m_state.self.zone || std::ranges::find(own, m_state.self.node) == own.end()) {
+        return;
+    }
+    // Unknown relays of the own zone belong to another part of it. This digest is soon replaced by that of the own
+    // part, so that the slower contact of seeds may never see them.
+    for (const Member &relay : record.content.relays) {
+        if (!m_state.table.isLiveEndpoint(relay.endpoint)) {
+            m_state.sendPing(relay, m_state.nextSequence());
+        }
+    }
+}
+
 ZoneDigest ZoneExchange::freshHeartbeat(const ZoneRecord &record) const
 {
     ZoneDigest digest = ZoneTable::heartbeatOf(record, m_state.self.node);
--- a/src/membership/internal/zoneexchange.h
+++ b/src/membership/internal/zoneexchange.h
@@ -34,6 +34,7 @@
     void pollVersions();
     void askForMissed();
     void expireContacts();
+    void contactStrangers(const ZoneRecord &record);
     void answerRequest(const Endpoint &to, const ZoneDigest &request);
     void requestContent(ZoneRecord &record, const Endpoint &from);
     void spread(const ZoneDigest &digest);
--- a/src/membership/tests/membershiprandom_tests.cpp
+++ b/src/membership/tests/membershiprandom_tests.cpp
@@ -103,6 +103,8 @@
     }
     // The halves of a split zone made different digests under one version.
     runSeed(78);
+    // The halves saw each other's digest only for moments between two contacts of seeds.
+    runSeed(631);
 }
 
 TEST_GROUP(MemberChart){};
