Hold back digests of a node that has just started

Cause: a restarted first relay knew only itself and told other zones that its zone has one node. Change: a node makes digests once its table equals that of a peer, or 5 s after its start. Heartbeats older than 3 s are not handed on as fresh, and contacts expire after 8 s, since a cut-off zone stayed listed for up to 13 s. Before: cutOffZoneIsReportedAndMergesAgain failed after the first change alone. Conclusion: whole digests during many restarts are still being measured.

--- a/src/membership/internal/localstate.h
+++ b/src/membership/internal/localstate.h
@@ -45,6 +45,7 @@
     std::set<ServiceName> changedServices; ///< Instance lists to compare at the next tick.
     std::optional<TimePoint> otherZoneHeardAt;
     std::deque<NodeName> toVerify;
+    bool settled = false; ///< Whether the member table was found equal to that of a peer, or is old enough.
 
 private:
     std::vector<Member> updatesFor(const Member &receiver, std::size_t maxBytes);
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -42,6 +42,7 @@
     , m_listener(listener)
     , m_prober(m_state)
     , m_exchange(m_state)
+    , m_startedAt(clock.now())
     , m_lastTick(clock.now())
     , m_nextGossip(clock.now())
     , m_nextContact(clock.now())
@@ -66,6 +67,7 @@
     m_state.table.expire(now);
     gossip();
     contactOthers();
+    m_state.settled = m_state.settled || now - m_startedAt >= m_state.settings.settleTime;
     m_exchange.tick();
     flushServices();
 }
@@ -83,6 +85,8 @@
             addSeeds({peer.endpoint});
         }
         m_state.table.forgetOthers();
+        m_state.settled = false;
+        m_startedAt = m_state.clock.now();
         m_nextContact = m_state.clock.now();
     }
 }
@@ -288,6 +292,7 @@
     const TimePoint now = m_state.clock.now();
     if (hash == m_state.table.hash()) {
         m_lastHashMatch = now;
+        m_state.settled = true;
         return;
     }
     if (now - m_lastHashMatch < m_state.settings.syncAfter || now < m_nextSync) {
--- a/src/membership/internal/membership.h
+++ b/src/membership/internal/membership.h
@@ -64,6 +64,7 @@
     std::vector<Endpoint> m_seeds;
     std::map<ServiceName, std::vector<Member>> m_reported; ///< Last lists given to the listener.
     Silence m_silence = Silence::None;
+    TimePoint m_startedAt; ///< Of the process, or of joining again after a long pause.
     TimePoint m_lastTick;
     TimePoint m_nextGossip;
     TimePoint m_nextContact;
--- a/src/membership/internal/zoneexchange.cpp
+++ b/src/membership/internal/zoneexchange.cpp
@@ -60,7 +60,8 @@
 void ZoneExchange::relayTick()
 {
     const std::vector<NodeName> relays = m_state.relayNames(m_state.settings.relays);
-    if (std::ranges::find(relays, m_state.self.node) == relays.end()) {
+    // A restarted relay knows few members at first; its digest would withdraw the contacts of the zone everywhere.
+    if (!m_state.settled || std::ranges::find(relays, m_state.self.node) == relays.end()) {
         m_differsSince.reset();
         return;
     }
@@ -330,7 +331,7 @@
 ZoneDigest ZoneExchange::freshHeartbeat(const ZoneRecord &record) const
 {
     ZoneDigest digest = ZoneTable::heartbeatOf(record, m_state.self.node);
-    if (!isReachable(record, m_state.settings.zoneReachable)) {
+    if (!isReachable(record, m_state.settings.heartbeatMissed)) {
         // The receiver must not take an old heartbeat for a sign of life.
         digest.heartbeat = 0;
     }
--- a/src/membership/membershipsetup.h
+++ b/src/membership/membershipsetup.h
@@ -33,6 +33,7 @@
     Duration firstContactPeriod = std::chrono::seconds(1); ///< Seed contact while no peer is known.
     Duration recontactPeriod = std::chrono::seconds(10); ///< Contact of seeds and dead members, to merge splits.
 
+    Duration settleTime = std::chrono::seconds(5); ///< A node whose table equals no peer's makes no digest before.
     std::size_t relays = 4;
     Duration relayPeriod = std::chrono::seconds(1);
     int relayPings = 3; ///< Relays of other zones pinged per period, for document versions.
@@ -43,7 +44,7 @@
     Duration heartbeatMissed = std::chrono::seconds(3); ///< Then the node asks a relay of its zone once.
 
     Duration zoneReachable = std::chrono::seconds(5);
-    Duration contactExpiry = std::chrono::seconds(10); ///< Contacts of a silent zone are withdrawn after this.
+    Duration contactExpiry = std::chrono::seconds(8); ///< Contacts of a silent zone are withdrawn after this.
     Duration versionPollPeriod = std::chrono::seconds(1); ///< Per member with other versions, by the first relay.
     int versionPollsPerTick = 2;
 };
--- a/src/membership/programs/trafficmain.cpp
+++ b/src/membership/programs/trafficmain.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr int Services = 380;
-constexpr std::array<const char *, 5> KindNames = {"ping", "ping-indirect", "ack", "member-sync", "zone-digest"};
+constexpr std::array<const char *, 7> KindNames =
+    {"ping", "ping-indirect", "ack", "member-sync", "heartbeat", "change", "whole digest"};
 constexpr std::size_t HeaderBytes = 52; // UDP, IP and authentication, which the codec does not add.
 constexpr std::size_t SampledEvery = 97; // Messages that are also encoded, to check the size estimate.
 
@@ -41,10 +42,12 @@
 void record(Traffic &traffic, const FakeNode &node, const ControlMessage &message)
 {
     const std::size_t bytes = estimateBytes(message);
-    if (message.index() < KindNames.size()) {
-        ++traffic.messages.at(message.index());
-        traffic.bytes.at(message.index()) += bytes;
+    std::size_t kind = message.index();
+    if (const auto *digest = std::get_if<ZoneDigest>(&message)) {
+        kind += static_cast<std::size_t>(digest->baseVersion > 0 ? 1 : digest->relays.empty() ? 0 : 2);
     }
+    ++traffic.messages.at(kind);
+    traffic.bytes.at(kind) += bytes;
     if (++traffic.count % SampledEvery == 0) {
         const std::size_t encoded = encodeFrame(ControlFrame{node.description.endpoint, message}).size() + HeaderBytes;
         traffic.sampledEstimate += bytes;
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -100,6 +100,21 @@
     CHECK_TRUE(gone.has_value() && *gone <= seconds(5));
 }
 
+// Guards against a restarted first relay that tells other zones that it is alone in its zone.
+TEST(Membership, restartedFirstRelayKeepsTheContactsOfItsZone)
+{
+    startZones(2, 40);
+    converge(seconds(30));
+    FakeNode &observer = network.node("zone-a-node-020");
+    network.kill(network.node("zone-b-node-000"));
+    network.startAt("10.0.0.40", "zone-b-node-000", "zone-b", "service-0", 0);
+    for (int check = 0; check < 100; ++check) {
+        network.run(milliseconds(100));
+        LONGS_EQUAL(8 + 3, observer.services[ServiceName("service-1")].size());
+    }
+    converge(seconds(10));
+}
+
 // Guards against contacts of an unreachable zone that stay listed, and against zones that do not find each other again.
 TEST(Membership, cutOffZoneIsReportedAndMergesAgain)
 {
