--- a/src/membership/internal/zoneexchange.cpp
+++ b/src/membership/internal/zoneexchange.cpp
@@ -60,7 +60,8 @@
 void ZoneExchange::relayTick()
 {
     const std::vector<NodeName> relays = m_state.relayNames(m_state.settings.relays);
-    if (std::ranges::find(relays, m_state.self.node) == relays.end()) {
+    // A restarted relay knows few members at first; its digest would withdraw the contacts of the zone everywhere.
+    if (!m_state.settled || std::ranges::find(relays, m_state.self.node) == relays.end()) {
         m_differsSince.reset();
         return;
     }
@@ -296,6 +297,7 @@
     }
     if (content == ContentResult::Applied) {
         m_state.changedServices.insert(changed.begin(), changed.end());
+        contactStrangers(*record);
         ZoneDigest passedOn = message;
         passedOn.sender = m_state.self.node;
         // Whole digests are large; those who miss one ask for it after the next heartbeat.
@@ -311,10 +313,25 @@
     }
 }
 
+void ZoneExchange::contactStrangers(const ZoneRecord &record)
+{
+    const std::vector<NodeName> own = m_state.relayNames(m_state.settings.relays);
+    if (record.zone != m_state.self.zone || std::ranges::find(own, m_state.self.node) == own.end()) {
+        return;
+    }
+    // Unknown relays of the own zone belong to another part of it. This digest is soon replaced by that of the own
+    // part, so that the slower contact of seeds may never see them.
+    for (const Member &relay : record.content.relays) {
+        if (!m_state.table.isLiveEndpoint(relay.endpoint)) {
+            m_state.sendPing(relay, m_state.nextSequence());
+        }
+    }
+}
+
 ZoneDigest ZoneExchange::freshHeartbeat(const ZoneRecord &record) const
 {
     ZoneDigest digest = ZoneTable::heartbeatOf(record, m_state.self.node);
-    if (!isReachable(record, m_state.settings.zoneReachable)) {
+    if (!isReachable(record, m_state.settings.heartbeatMissed)) {
         // The receiver must not take an old heartbeat for a sign of life.
         digest.heartbeat = 0;
     }
