--- a/src/quota/internal/quotaborrowing.cpp
+++ b/src/quota/internal/quotaborrowing.cpp
@@ -1,5 +1,7 @@
 #include "quota/internal/quotaservice.h"
 
+#include <algorithm>
+
 namespace vanillatack {
 
 namespace {
@@ -18,8 +20,8 @@
 // Below this wanted rate, tokens are asked for only when a request waits for one.
 constexpr std::int64_t PrefetchFrom = TokensPerRequest;
 
-// Tokens for this long are kept in stock; below, more are asked for.
-constexpr std::int64_t StockMilliseconds = 20;
+// Tokens for this long, two ticks, are kept in stock; below, more are asked for.
+constexpr std::int64_t StockMilliseconds = 100;
 
 // Keeps a request below 1,200 bytes: an item takes up to 90 bytes with a name of 30 characters.
 constexpr std::size_t ItemsPerMessage = 12;
@@ -100,7 +102,12 @@
 void QuotaService::borrowAsOwner(Workspace &workspace, TimePoint now, Batches &batches)
 {
     const QuotaAmount fleet{workspace.fleet.rate, workspace.fleet.burst};
-    const QuotaAmount want = lowerOf(nodesWant(workspace, now), fleet);
+    QuotaAmount want = nodesWant(workspace, now);
+    if (isPooled(workspace)) {
+        // Small numbers vary more, and the tokens of shares that stay with their owners serve nobody.
+        want += want;
+    }
+    want = lowerOf(want, fleet);
     if (want.none() && workspace.book.heldLoans().empty()) {
         return;
     }
@@ -130,7 +137,14 @@
     const QuotaAmount share{workspace.fleet.rate / owners + 1, workspace.fleet.burst / owners + 1};
     // A share may be several times the average where zones are weighted.
     const QuotaAmount most{4 * share.rate, 4 * share.burst};
-    for (const Owner *lender : m_owners.lenders(workspace.name, now)) {
+    std::vector<const Owner *> lenders = m_owners.lenders(workspace.name, now);
+    // Owners that lend a share already have more only where zones are weighted.
+    std::stable_partition(lenders.begin(), lenders.end(), [&](const Owner *lender) {
+        const auto held = workspace.book.heldLoans().find(lender->member.node);
+        return held == workspace.book.heldLoans().end()
+            || isBelow(held->second.amount, {share.rate / 2, share.burst / 2});
+    });
+    for (const Owner *lender : lenders) {
         if (missing.none()) {
             return;
         }
@@ -189,7 +203,7 @@
         std::vector<std::pair<NodeName, QuotaAmount>> soon;
         for (const auto &[lender, loan] : workspace.book.heldLoans()) {
             const Ask &ask = workspace.asks[lender];
-            if (batches.contains(lender) && ask.sequence == 0 && ask.renewAt - now < m_settings.term / 5) {
+            if (batches.contains(lender) && ask.sequence == 0 && ask.renewAt - now < m_settings.term / 3) {
                 soon.emplace_back(lender, lends ? loan.amount : ownWant(workspace, now));
             }
         }
--- a/src/quota/internal/quotalending.cpp
+++ b/src/quota/internal/quotalending.cpp
@@ -17,6 +17,10 @@
 // Below this rate a borrower gets tokens without a rate. The rate then refills the pool, where all borrowers can use
 // it, instead of buckets that are mostly full.
 constexpr std::int64_t RateLoanFrom = 5 * TokensPerRequest;
+// A bucket this small holds too few tokens for several to lie at each node.
+constexpr std::int64_t SmallBurst = 20 * TokensPerRequest;
+// With plenty for all, a rate saves messages, since its loan lasts for a term.
+constexpr std::int64_t RateLoanWhenPlenty = TokensPerRequest;
 
 // A request that cannot be granted is answered this much later when shares are being collected meanwhile; below the
 // time after which the borrower gives the request up.
@@ -176,8 +180,11 @@
     if (wanted.burst > total.burst) {
         fair.burst = std::max<std::int64_t>(0, scaled(total.burst, item.burst, wanted.burst));
     }
-    if (item.rate < RateLoanFrom || fair.burst < TokensPerRequest) {
-        return lendTokens(workspace, borrower, item, fair.burst < item.burst, now);
+    const bool small = total.burst < SmallBurst;
+    const bool plenty = !small && wanted.rate <= total.rate / 4 * 3 && wanted.burst <= total.burst / 2;
+    if (item.rate < (plenty ? RateLoanWhenPlenty : RateLoanFrom) || fair.burst < TokensPerRequest) {
+        const bool scarce = small || fair.burst < TokensPerRequest || workspace.book.tokens() < total.burst / 2;
+        return lendTokens(workspace, borrower, item, scarce, now);
     }
     QuotaAmount best;
     Duration bestTerm{0};
--- a/src/quota/internal/quotaservice.cpp
+++ b/src/quota/internal/quotaservice.cpp
@@ -164,7 +164,8 @@
         workspace.waiting = workspace.waitingUntil > now ? workspace.waiting : 0;
         workspace.waitingUntil = now + CallerPatience;
     }
-    if (workspace.book.tokens() < TokensPerRequest) {
+    if (!decision.admitted) {
+        // Without a waiting request, the next tick asks for all workspaces in one message.
         Batches batches;
         borrow(workspace, now, batches);
         sendBatches(batches, now);
