Collect older burn figures as sums of hours, in ranges

Change: minutes older than 6 to 7 h are collected and kept in the table as sums of hours; of a node's hour and its minutes, the ones that count more are taken, so that both ways of collecting count once. The tool takes its clock from its environment.

The memory of a node that answers one range has not been measured.

--- a/src/admin/adminmodel.h
+++ b/src/admin/adminmodel.h
@@ -186,12 +186,13 @@
     int queuedRequests = 0;
 };
 
+/// The tool asks for one range after the other, so that a node never holds the figures of 30 days at once.
 struct BurnQuery {
-    std::int64_t fromMinute = 0; ///< Minutes since the epoch, both included.
+    std::int64_t fromMinute = 0; ///< Minutes since the epoch, both included; an hour counts by its first minute.
     std::int64_t toMinute = 0;
 };
 
-/// Burn buckets of the fleet.
+/// Burn buckets of the fleet: minutes from firstSingleMinute() on, hours before.
 struct BurnFigures {
     std::int64_t nowMinute = 0; ///< By the clock of the node.
     std::vector<Objective> objectives; ///< Of the configuration in force.
--- a/src/admin/tests/fakeadminservice.h
+++ b/src/admin/tests/fakeadminservice.h
@@ -79,9 +79,20 @@
         return counted(DrainState{request.node, false, 0, 0});
     }
 
-    Result<BurnFigures> burnFigures(const BurnQuery &) override
+    Result<BurnFigures> burnFigures(const BurnQuery &asked) override
     {
-        return counted(burn);
+        BurnFigures figures = burn;
+        figures.buckets = {};
+        for (const auto &[source, counts] : burn.buckets.sources()) {
+            for (const auto &[key, value] : counts) {
+                if (key.minute >= asked.fromMinute && key.minute <= asked.toMinute) {
+                    const BurnBucket bucket{
+                        key.minute, key.route, key.workspace, value.good, value.bad, value.refusals, key.spanMinutes};
+                    figures.buckets.add(source, bucket);
+                }
+            }
+        }
+        return counted(std::move(figures));
     }
 
     Result<NodeStatus> nodeStatus() override
--- a/src/burn/iburncounters.h
+++ b/src/burn/iburncounters.h
@@ -19,14 +19,15 @@
     bool insideRate = true; ///< Whether the workspace was inside its rate.
 };
 
-/// Counts of one minute, route and workspace.
+/// Counts of one minute, or one hour, of one route and workspace.
 struct BurnBucket {
     std::int64_t minute = 0; ///< Minutes since the epoch, UTC.
     RouteName route;
     WorkspaceName workspace;
     std::uint64_t good = 0;
     std::uint64_t bad = 0; ///< Against the route's objective; refusals of callers over their rate do not count.
-    std::map<RefusalKind, std::uint64_t> refusals;
+    std::map<RefusalKind, std::uint64_t> refusals; ///< Bad requests by kind; None: answered late or with status 5xx.
+    int spanMinutes = 1; ///< 60 for the sum of an hour; the minute is then the first of the hour.
 
     bool operator==(const BurnBucket &) const = default;
 };
--- a/src/burn/internal/burncollection.cpp
+++ b/src/burn/internal/burncollection.cpp
@@ -1,8 +1,10 @@
 #include "burn/burncollection.h"
 
+#include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace vanillatack {
 
@@ -11,6 +13,8 @@
 using nlohmann::json;
 
 constexpr int FormatVersion = 1;
+constexpr int HourMinutes = 60;
+constexpr std::int64_t SingleMinutes = std::int64_t{6} * HourMinutes;
 
 void raise(BurnCounts &counts, const BurnCounts &other)
 {
@@ -22,6 +26,34 @@
     }
 }
 
+std::int64_t hourStart(std::int64_t minute)
+{
+    return minute - minute % HourMinutes;
+}
+
+BurnKey hourOf(const BurnKey &key)
+{
+    return {hourStart(key.minute), key.route, key.workspace, HourMinutes};
+}
+
+// The hours of a source whose sum counts more than the source's minutes that are there.
+std::set<BurnKey> hoursToUse(const std::map<BurnKey, BurnCounts> &counts)
+{
+    std::map<BurnKey, std::uint64_t> minuteSums;
+    for (const auto &[key, value] : counts) {
+        if (key.spanMinutes != HourMinutes) {
+            minuteSums[hourOf(key)] += value.good + value.bad;
+        }
+    }
+    std::set<BurnKey> hours;
+    for (const auto &[key, value] : counts) {
+        if (key.spanMinutes == HourMinutes && value.good + value.bad > minuteSums[key]) {
+            hours.insert(key);
+        }
+    }
+    return hours;
+}
+
 // Positions of names in a list, so that a name is written once.
 template<class Id>
 class NameList
@@ -81,8 +113,12 @@
         const BurnSource source{ZoneName(item.at("zone").get<std::string>()),
                                 NodeName(item.at("node").get<std::string>()),
                                 countFrom(item.at("start"))};
-        for (const json &row : item.at("buckets")) {
-            collection.add(source, bucketFrom(row, document.at("routes"), document.at("workspaces")));
+        for (const auto &[list, span] : {std::pair("minutes", 1), std::pair("hours", HourMinutes)}) {
+            for (const json &row : item.at(list)) {
+                BurnBucket bucket = bucketFrom(row, document.at("routes"), document.at("workspaces"));
+                bucket.spanMinutes = span;
+                collection.add(source, bucket);
+            }
         }
     }
     return collection;
@@ -92,7 +128,7 @@
 
 void BurnCollection::add(const BurnSource &source, const BurnBucket &bucket)
 {
-    const BurnKey key{bucket.minute, bucket.route, bucket.workspace};
+    const BurnKey key{bucket.minute, bucket.route, bucket.workspace, bucket.spanMinutes};
     raise(m_sources[source][key], {bucket.good, bucket.bad, bucket.refusals});
 }
 
@@ -116,7 +152,7 @@
 void BurnCollection::dropBefore(std::int64_t minute)
 {
     for (auto &[source, counts] : m_sources) {
-        counts.erase(counts.begin(), counts.lower_bound(BurnKey{minute, {}, {}}));
+        counts.erase(counts.begin(), counts.lower_bound(BurnKey{minute, {}, {}, 0}));
     }
     std::erase_if(m_sources, [](const auto &entry) {
         return entry.second.empty();
@@ -127,7 +163,11 @@
 {
     std::map<BurnKey, BurnCounts> sums;
     for (const auto &[source, counts] : m_sources) {
+        const std::set<BurnKey> hours = hoursToUse(counts);
         for (const auto &[key, value] : counts) {
+            if (hours.contains(hourOf(key)) != (key.spanMinutes == HourMinutes)) {
+                continue;
+            }
             BurnCounts &sum = sums[key];
             sum.good += value.good;
             sum.bad += value.bad;
@@ -139,18 +179,57 @@
     std::vector<BurnBucket> buckets;
     buckets.reserve(sums.size());
     for (auto &[key, sum] : sums) {
-        buckets.push_back({key.minute, key.route, key.workspace, sum.good, sum.bad, std::move(sum.refusals)});
+        buckets.push_back(
+            {key.minute, key.route, key.workspace, sum.good, sum.bad, std::move(sum.refusals), key.spanMinutes});
     }
     return buckets;
 }
 
+std::int64_t firstSingleMinute(std::int64_t nowMinute)
+{
+    return hourStart(nowMinute - SingleMinutes);
+}
+
+std::vector<BurnBucket> sumHours(const std::vector<BurnBucket> &buckets, std::int64_t beforeMinute)
+{
+    std::map<BurnKey, BurnBucket> sums;
+    std::vector<BurnBucket> result;
+    for (const BurnBucket &bucket : buckets) {
+        if (bucket.spanMinutes == HourMinutes || hourStart(bucket.minute) >= beforeMinute) {
+            result.push_back(bucket);
+            continue;
+        }
+        const BurnKey key = hourOf({bucket.minute, bucket.route, bucket.workspace, 1});
+        BurnBucket &sum = sums[key];
+        sum.minute = key.minute;
+        sum.route = key.route;
+        sum.workspace = key.workspace;
+        sum.spanMinutes = HourMinutes;
+        sum.good += bucket.good;
+        sum.bad += bucket.bad;
+        for (const auto &[kind, count] : bucket.refusals) {
+            sum.refusals[kind] += count;
+        }
+    }
+    for (auto &[key, sum] : sums) {
+        result.push_back(std::move(sum));
+    }
+    return result;
+}
+
+std::string burnRowKey(const ZoneName &zone, std::int64_t minute)
+{
+    return absl::StrFormat("burn/%s/%08d", zone.value, minute / HourMinutes);
+}
+
 std::string formatBurnCollection(const BurnCollection &collection)
 {
     NameList<RouteName> routes;
     NameList<WorkspaceName> workspaces;
     json sources = json::array();
     for (const auto &[source, counts] : collection.sources()) {
-        json rows = json::array();
+        json minutes = json::array();
+        json hours = json::array();
         for (const auto &[key, value] : counts) {
             json row = {
                 key.minute, routes.indexOf(key.route), workspaces.indexOf(key.workspace), value.good, value.bad};
@@ -161,12 +240,13 @@
             if (!refusals.empty()) {
                 row.push_back(std::move(refusals));
             }
-            rows.push_back(std::move(row));
+            (key.spanMinutes == HourMinutes ? hours : minutes).push_back(std::move(row));
         }
         sources.push_back({{"zone", source.zone.value},
                            {"node", source.node.value},
                            {"start", source.startIncarnation},
-                           {"buckets", std::move(rows)}});
+                           {"minutes", std::move(minutes)},
+                           {"hours", std::move(hours)}});
     }
     const json document = {{"format", FormatVersion},
                            {"routes", routes.names()},
--- a/src/burn/internal/burncounters.cpp
+++ b/src/burn/internal/burncounters.cpp
@@ -141,7 +141,7 @@
             if (cell.series != lastSeries) {
                 lastSeries = cell.series;
                 const auto &[route, workspace] = m_series[cell.series];
-                result.push_back({entry->first, route, workspace, 0, 0, {}});
+                result.push_back({entry->first, route, workspace, 0, 0, {}, 1});
             }
             BurnBucket &bucket = result.back();
             if (cell.good) {
--- a/src/burn/tests/burnreport_tests.cpp
+++ b/src/burn/tests/burnreport_tests.cpp
@@ -35,8 +35,12 @@
     BurnCollection collection;
     for (std::uint64_t i = 0; i < 1 + random.below(20); ++i) {
         const BurnSource source{ZoneName("a"), NodeName("n" + std::to_string(random.below(3))), 1 + random.below(2)};
-        collection.add(source,
-                       bucketAt(Now - static_cast<std::int64_t>(random.below(4)), random.below(9), random.below(9)));
+        const auto age = static_cast<std::int64_t>(random.below(4));
+        BurnBucket bucket = bucketAt(Now - age, random.below(9), random.below(9));
+        if (random.below(3) == 0) {
+            bucket = sumHours({bucket}, Now).at(0);
+        }
+        collection.add(source, bucket);
     }
     return collection;
 }
@@ -85,11 +89,40 @@
     CHECK(collection.sources().empty());
 }
 
+// Guards against counting a node's minutes and its hour sums both, over random collections of a running node by way of
+// the node and of the table.
+TEST(BurnCollection, hoursAndMinutesOfANodeCountOnce)
+{
+    SeededRandom random(13);
+    std::vector<BurnBucket> buckets;
+    std::uint64_t expected = 0;
+    BurnCollection collection;
+    const BurnSource source{ZoneName("a"), NodeName("n"), 1};
+    for (std::int64_t minute = Now; minute < Now + 1500; ++minute) {
+        buckets.push_back(bucketAt(minute, random.below(5), random.below(3)));
+        expected += buckets.back().good + buckets.back().bad;
+        if (random.below(7) == 0 || minute == Now + 1499) {
+            collection.add(source, sumHours(buckets, firstSingleMinute(minute)));
+        }
+        if (random.below(5) == 0) {
+            collection.merge(parseBurnCollection(formatBurnCollection(collection)).value());
+            collection.add(source, sumHours(buckets, minute + 1));
+        }
+    }
+    std::uint64_t counted = 0;
+    for (const BurnBucket &bucket : collection.totals()) {
+        counted += bucket.good + bucket.bad;
+        CHECK(bucket.spanMinutes == 1 || bucket.minute < firstSingleMinute(Now + 1499));
+    }
+    LONGS_EQUAL(expected, counted);
+    STRCMP_EQUAL("burn/a/00483333", burnRowKey(ZoneName("a"), Now).c_str());
+}
+
 // Guards against a damaged row or reply that stops the tool or is read as figures.
 TEST(BurnCollection, damagedTextIsAnError)
 {
     const std::string text =
-        R"({"format":1,"routes":["r"],"workspaces":["w"],"sources":[{"zone":"a","node":"n","start":1,"buckets":[[1,0,0,)";
+        R"({"format":1,"routes":["r"],"workspaces":["w"],"sources":[{"zone":"a","node":"n","start":1,"hours":[],"minutes":[[1,0,0,)";
     CHECK(parseBurnCollection(text + "3,4,{\"new-kind\":4}]]}]}").has_value());
     CHECK(!parseBurnCollection(text + "-3,4]]}]}").has_value());
     CHECK(!parseBurnCollection(text + "3]]}]}").has_value());
--- a/src/tool/main/vanillatack.cpp
+++ b/src/tool/main/vanillatack.cpp
@@ -6,6 +6,7 @@
 
 int main(int argc, char **argv)
 {
+    const vanillatack::SystemClock clock;
     const vanillatack::ToolEnvironment environment = {
         std::cin,
         std::cout,
@@ -17,6 +18,7 @@
         [](vanillatack::Duration duration) {
             std::this_thread::sleep_for(duration);
         },
+        clock,
     };
     return vanillatack::runTool({argv + 1, argv + argc}, environment);
 }
--- a/src/tool/tests/tool_tests.cpp
+++ b/src/tool/tests/tool_tests.cpp
@@ -79,6 +79,7 @@
     std::string err;
     std::string credential = "operator-credential";
     std::string input;
+    ManualClock clock;
     std::function<void()> onPause = [] {};
 
     void setup() override
@@ -107,7 +108,8 @@
                                              },
                                              [this](Duration) {
                                                  onPause();
-                                             }};
+                                             },
+                                             clock};
         const int status = runTool(arguments, environment);
         out = outStream.str();
         err = errStream.str();
@@ -242,13 +244,21 @@
 // Guards against reports that look complete without some zones, and against output that scripts cannot read.
 TEST(Tool, reportNamesMissingZones)
 {
-    const std::int64_t now = 29'000'000;
+    const auto sinceEpoch = clock.wallNow().time_since_epoch();
+    const std::int64_t now = std::chrono::floor<std::chrono::minutes>(sinceEpoch).count();
     service.burn.nowMinute = now;
     service.burn.objectives = {{RouteName("certs"), 99.9, std::chrono::milliseconds(500)}};
     service.burn.buckets.add({ZoneName("a"), NodeName("n"), 1},
                              BurnBucket{now, RouteName("certs"), WorkspaceName("north"), 90, 10, {}});
     LONGS_EQUAL(0, runAt(node, {"report"}));
     STRCMP_CONTAINS("fast", out.c_str());
+    // One bucket for each hour of the period but its edges, which lie in different ranges of the tool's questions.
+    for (std::int64_t age = 60; age < 29 * 24 * 60; age += 60) {
+        service.burn.buckets.add({ZoneName("a"), NodeName("n"), 1},
+                                 BurnBucket{now - age, RouteName("certs"), WorkspaceName("north"), 1000, 0, {}});
+    }
+    LONGS_EQUAL(0, runAt(node, {"report", "--output", "json"}));
+    LONGS_EQUAL(90 + 1000 * (29 * 24 - 1), nlohmann::json::parse(out).at("routes").at(0).at("good").get<int>());
     service.burn.missingZones = {ZoneName("b")};
     LONGS_EQUAL(5, runAt(node, {"report", "--output", "json", "--html", file}));
     CHECK(!nlohmann::json::parse(out).at("complete").get<bool>());
--- a/src/tool/tool.h
+++ b/src/tool/tool.h
@@ -27,6 +27,7 @@
     std::ostream &err; ///< Problems, prompts and notes.
     std::function<std::string(const std::string &)> variable; ///< Value of an environment variable, or "".
     std::function<void(Duration)> pause; ///< Waits.
+    const IClock &clock;
 };
 
 /// Runs one command; the arguments come without the program's name. Returns the exit status.
