--- a/src/standin/internal/upstreaminstance.cpp
+++ b/src/standin/internal/upstreaminstance.cpp
@@ -167,8 +167,10 @@
     return plain(200, stats.dump() + "\n");
 }
 
-HttpResponse UpstreamInstance::serve(const HttpRequest &request, int callerSocket)
+HttpResponse UpstreamInstance::serve(const HttpRequest &request, int connection)
 {
+    // The baseline is a plain server that does not notice that its caller has gone.
+    const int callerSocket = m_direct.enabled ? NoSocket : connection;
     const TimePoint deadline = deadlineOf(request);
     const std::string operation = request.header("Operation-Id");
     if (!operation.empty()) {
--- a/src/standin/upstreaminstance.h
+++ b/src/standin/upstreaminstance.h
@@ -85,7 +85,7 @@
 
 private:
     HttpResponse control(const HttpRequest &request);
-    HttpResponse serve(const HttpRequest &request, int callerSocket);
+    HttpResponse serve(const HttpRequest &request, int connection);
     bool takeSlot(int callerSocket, TimePoint deadline);
     void releaseSlot();
     bool work(int callerSocket);
