Start the model at the announced slots, and mend the first probe

Cause: the test of wrongly announced slots announced the true number first, so the limit started there and the wrong number was only its bound. With a start at three times the slots the test failed: the first baseline was taken under load, the first probe took the equal latency as a confirmation, and the limit stayed at 1.8 times the slots. Change: the model takes the announced slots at construction. A probe with a baseline that none has confirmed goes on until latency stops following. The baseline is the mean of the probes, and of both last steps when their latency is equal. The naive version moves into the model, and the settings from the environment into src/testing, which shortens the tests.

--- a/src/admission/internal/concurrencylimit.cpp
+++ b/src/admission/internal/concurrencylimit.cpp
@@ -46,7 +46,7 @@
 constexpr double RiseGrowth = 1.5;
 constexpr double LongestRise = 0.25;
 constexpr double StepDown = 0.9;
-constexpr double GradientFloor = 0.8; // Of the limit after the last probe.
+constexpr double GradientFloor = 0.85; // Of the limit after the last probe.
 constexpr double UsedShare = 0.9;
 constexpr double LoadedShare = 0.5;
 
@@ -323,7 +323,7 @@
 
 void ConcurrencyLimit::stepProbe(TimePoint now, double mean, double error)
 {
-    constexpr int MostBaselineProbes = 4;
+    constexpr int MostBaselineProbes = 5;
     m_probe.latencies.push_back(mean);
     const std::size_t last = m_probe.latencies.size() - 1;
     if (mean < SpeedUpShare * m_probe.latencies[last - 1]) {
@@ -334,22 +334,26 @@
         return;
     }
     const bool lower = mean + SignificantErrors * error < m_baseline && mean < m_baseline * (1 - Unchanged);
-    const bool unchanged = !lower && mean <= m_baseline * (1 + Unchanged);
-    const bool unresponsive = last >= 2 && mean > UnresponsiveShare * m_probe.latencies[last - 2];
+    // A baseline that no probe has confirmed may have been taken under load, so that equal latency proves nothing.
+    const bool unchanged = !lower && m_baselineProbes > 0 && mean <= m_baseline * (1 + Unchanged);
+    const double previous = m_probe.latencies[last - 1];
+    const bool unresponsive =
+        mean > (1 - Unchanged) * previous || (last >= 2 && mean > UnresponsiveShare * m_probe.latencies[last - 2]);
     const bool atLowest = limit() <= m_lowest;
     if (unchanged && !atLowest) {
         // The mean of the last probes, since each is noisy.
         m_baselineProbes = std::min(MostBaselineProbes, m_baselineProbes + 1);
-        m_baseline += (mean - m_baseline) / (m_baselineProbes + 1);
+        m_baseline += (mean - m_baseline) / m_baselineProbes;
         endProbe(now, mean);
         return;
     }
     if (lower || unresponsive || atLowest) {
         // Lower: the baseline itself was taken under load. Otherwise: the upstream has become slower by itself.
-        m_baseline = mean;
-        m_baselineProbes = 0;
+        // Steps with equal latency are measurements of the same value, so both count.
+        m_baseline = mean > (1 - Unchanged) * previous && mean < previous ? (mean + previous) / 2 : mean;
+        m_baselineProbes = unresponsive || atLowest ? 1 : 0;
     }
-    if (atLowest || (unresponsive && !lower)) {
+    if (atLowest || unresponsive) {
         endProbe(now, mean);
     } else {
         setLimit(m_limit * ProbeStep);
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -1,7 +1,7 @@
 #include "admission/internal/levelestimator.h"
 #include "admission/internal/waitingqueue.h"
-#include "admission/tests/testsettings.h"
 #include "admission/tests/upstreammodel.h"
+#include "testing/testsettings.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/admission/tests/limit_tests.cpp
+++ b/src/admission/tests/limit_tests.cpp
@@ -1,5 +1,5 @@
-#include "admission/tests/testsettings.h"
 #include "admission/tests/upstreammodel.h"
+#include "testing/testsettings.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,8 +21,7 @@
 
 SlowDownResult runSlowDown(UpstreamSettings settings, int announced, std::uint64_t seed, bool naive)
 {
-    Simulation simulation(settings, seed, naive);
-    simulation.admission->setAnnouncedSlots(announced);
+    Simulation simulation(settings, seed, naive, announced);
     const double capacity = simulation.capacity();
     simulation.addStream({.workspace = "a", .perSecond = 3 * capacity});
     simulation.run(3s);
--- a/src/admission/tests/upstreammodel.h
+++ b/src/admission/tests/upstreammodel.h
@@ -45,89 +45,18 @@
     }
 };
 
-/// First come, first served with a fixed limit and a bounded queue; the naive version.
-class NaiveAdmission final : public IAdmission
-{
-public:
-    explicit NaiveAdmission(IAdmissionListener &listener)
-        : m_listener(listener)
-    {
-    }
-    void configure(const AdmissionSettings &settings) override
-    {
-        m_queueLimit = static_cast<std::size_t>(settings.queueLimit);
-    }
-    void setAnnouncedSlots(int slots) override
-    {
-        m_snapshot.limit = slots;
-    }
-    void startCold() override
-    {
-    }
-    void setDraining(bool /*draining*/) override
-    {
-    }
-    AdmissionDecision offer(const AdmissionRequest & /*request*/) override
-    {
-        const TicketId ticket{++m_last};
-        if (m_snapshot.running < m_snapshot.limit) {
-            ++m_snapshot.running;
-            return {AdmissionOutcome::Admitted, ticket};
-        }
-        if (m_queue.size() >= m_queueLimit) {
-            return {};
-        }
-        m_queue.push_back(ticket);
-        return {AdmissionOutcome::Queued, ticket};
-    }
-    void finish(TicketId /*ticket*/, WorkOutcome /*outcome*/, Duration /*latency*/) override
-    {
-        if (m_queue.empty()) {
-            --m_snapshot.running;
-            return;
-        }
-        const TicketId next = m_queue.front();
-        m_queue.pop_front();
-        m_listener.onAdmitted(next);
-    }
-    void cancel(TicketId /*ticket*/) override
-    {
-    }
-    void tick() override
-    {
-    }
-    [[nodiscard]] ServiceLevel level() const override
-    {
-        return {};
-    }
-    [[nodiscard]] AdmissionSnapshot snapshot() const override
-    {
-        return m_snapshot;
-    }
-
-private:
-    IAdmissionListener &m_listener;
-    std::deque<TicketId> m_queue;
-    std::size_t m_queueLimit = 0;
-    std::uint64_t m_last = 0;
-    AdmissionSnapshot m_snapshot;
-};
-
-/// Runs streams against one admission and one upstream.
+/// Runs streams against one upstream behind an admission. The naive version has a limit of the announced slots and a
+/// first-come queue of the same length instead.
 class Simulation final : public IAdmissionListener
 {
 public:
-    Simulation(UpstreamSettings settings, std::uint64_t seed, bool naive = false)
+    Simulation(UpstreamSettings settings, std::uint64_t seed, bool naive = false, int announcedSlots = 0)
         : upstream(settings)
+        , admission(makeAdmission(clock, *this, AdmissionSettings()))
         , m_random(seed)
+        , m_naiveLimit(naive ? std::max(announcedSlots, settings.slots) : 0)
     {
-        if (naive) {
-            admission = std::make_unique<NaiveAdmission>(*this);
-            admission->configure(AdmissionSettings());
-        } else {
-            admission = makeAdmission(m_clock, *this, AdmissionSettings());
-        }
-        admission->setAnnouncedSlots(settings.slots);
+        admission->setAnnouncedSlots(std::max(announcedSlots, settings.slots));
         schedule(Duration::zero(), Event::Tick, 0);
     }
 
@@ -141,15 +70,15 @@
     /// Runs for a time and returns the good completions per second in it.
     double run(Duration time)
     {
-        const TimePoint end = m_clock.now() + time;
+        const TimePoint end = clock.now() + time;
         const int before = good;
         while (std::get<0>(m_events.top()) <= end) {
             const auto [at, order, event, id] = m_events.top();
             m_events.pop();
-            m_clock.advance(at - m_clock.now());
+            clock.advance(at - clock.now());
             handle(event, id);
         }
-        m_clock.advance(end - m_clock.now());
+        clock.advance(end - clock.now());
         return (good - before) / std::chrono::duration<double>(time).count();
     }
 
@@ -175,10 +104,10 @@
     }
 
     UpstreamSettings upstream;
+    ManualClock clock;
     std::unique_ptr<IAdmission> admission;
     std::vector<Stream> streams;
     std::vector<Tally> tallies;
-    std::vector<std::uint64_t> startOrder; ///< Streams of admitted requests, when recording.
     int good = 0;
 
 private:
@@ -196,7 +125,7 @@
 
     void schedule(Duration delay, Event event, std::uint64_t id)
     {
-        m_events.emplace(m_clock.now() + delay, ++m_order, event, id);
+        m_events.emplace(clock.now() + delay, ++m_order, event, id);
     }
 
     Duration exponential(double meanSeconds)
@@ -227,9 +156,11 @@
     {
         const Stream &stream = streams[index];
         ++tallies[index].offered;
-        const TimePoint now = m_clock.now();
-        const AdmissionDecision decision = admission->offer(
-            {WorkspaceName(stream.workspace), stream.priority, stream.inProgress, now + stream.deadline});
+        const TimePoint now = clock.now();
+        const AdmissionDecision decision = m_naiveLimit > 0
+            ? offerNaive()
+            : admission->offer(
+                {WorkspaceName(stream.workspace), stream.priority, stream.inProgress, now + stream.deadline});
         if (decision.outcome == AdmissionOutcome::Refused) {
             ++tallies[index].refused;
             return;
@@ -240,10 +171,35 @@
         }
     }
 
+    AdmissionDecision offerNaive()
+    {
+        const TicketId ticket{++m_lastNaive};
+        if (m_naiveRunning < m_naiveLimit) {
+            ++m_naiveRunning;
+            return {AdmissionOutcome::Admitted, ticket};
+        }
+        if (m_naiveQueue.size() >= static_cast<std::size_t>(AdmissionSettings().queueLimit)) {
+            return {};
+        }
+        m_naiveQueue.push_back(ticket);
+        return {AdmissionOutcome::Queued, ticket};
+    }
+
+    void finishNaive()
+    {
+        if (m_naiveQueue.empty()) {
+            --m_naiveRunning;
+            return;
+        }
+        const TicketId next = m_naiveQueue.front();
+        m_naiveQueue.pop_front();
+        onAdmitted(next);
+    }
+
     void start(std::uint64_t id)
     {
         Request &request = m_requests.at(id);
-        request.started = m_clock.now();
+        request.started = clock.now();
         if (upstream.shedAbove > 0 && m_inside >= upstream.shedAbove) {
             request.outcome = WorkOutcome::Overloaded;
             schedule(std::chrono::milliseconds(1), Event::Finish, id);
@@ -270,7 +226,7 @@
     {
         const Request request = m_requests.at(id);
         m_requests.erase(id);
-        const TimePoint now = m_clock.now();
+        const TimePoint now = clock.now();
         if (request.outcome == WorkOutcome::Succeeded) {
             --m_inside;
             --m_busy;
@@ -287,10 +243,13 @@
                 serve(next);
             }
         }
-        admission->finish(TicketId{id}, request.outcome, now - request.started);
+        if (m_naiveLimit > 0) {
+            finishNaive();
+        } else {
+            admission->finish(TicketId{id}, request.outcome, now - request.started);
+        }
     }
 
-    ManualClock m_clock;
     SeededRandom m_random;
     std::priority_queue<std::tuple<TimePoint, std::uint64_t, Event, std::uint64_t>,
                         std::vector<std::tuple<TimePoint, std::uint64_t, Event, std::uint64_t>>,
@@ -299,6 +258,10 @@
     std::uint64_t m_order = 0;
     std::map<std::uint64_t, Request> m_requests;
     std::deque<std::uint64_t> m_waitingInside;
+    std::deque<TicketId> m_naiveQueue;
+    int m_naiveLimit = 0;
+    int m_naiveRunning = 0;
+    std::uint64_t m_lastNaive = 0;
     int m_inside = 0;
     int m_busy = 0;
 };
--- a/src/attempts/tests/attempts_tests.cpp
+++ b/src/attempts/tests/attempts_tests.cpp
@@ -1,10 +1,10 @@
 #include "attempts/attemptssetup.h"
 #include "base/random.h"
+#include "testing/testsettings.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <deque>
 #include <string>
 #include <vector>
@@ -14,12 +14,6 @@
 
 namespace {
 
-std::uint64_t settingOr(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 /// A call tree in which every node has its own ledger. Runs it with the ledger, or with a fixed number of retries per
 /// hop as the naive version does.
 struct CallTree {
@@ -94,7 +88,7 @@
 
 TEST_GROUP(AttemptLedger)
 {
-    SeededRandom random{settingOr("VT_SEED", 20261204)};
+    SeededRandom random{testSeed()};
 };
 
 // Guards against retries that multiply at each hop, and against allowance that lost, late, repeated or wrong replies
@@ -141,7 +135,7 @@
 TEST_GROUP(RetryBudget)
 {
     ManualClock clock;
-    SeededRandom random{settingOr("VT_SEED", 20261204)};
+    SeededRandom random{testSeed()};
 };
 
 // Guards against windows in which a burst on both sides of a bucket boundary exceeds the ratio: compares with a log of
