--- a/src/documents/ikeyring.h
+++ b/src/documents/ikeyring.h
@@ -28,6 +28,9 @@
     WorkspaceName workspace;
 };
 
+/// Whether the text may be the id of a key: up to 128 letters, digits, "-", "_" and ".". Ids become keys of rows.
+bool isKeyId(std::string_view text);
+
 /// Text form of the key document (JSON). Errors: InvalidConfiguration.
 std::string formatKeyDocument(const std::vector<KeyRecord> &records);
 Result<std::vector<KeyRecord>> parseKeyDocument(std::string_view content);
--- a/src/documents/internal/documents.cpp
+++ b/src/documents/internal/documents.cpp
@@ -45,6 +45,9 @@
 
 void Documents::tick()
 {
+    for (const auto &completion : std::exchange(m_deferred, {})) {
+        completion();
+    }
     m_reader.tick(m_ready);
     m_withdrawalTable.tick(m_ready, m_reader.withdrawalMarker());
     m_exchange.tick();
@@ -127,6 +130,14 @@
 
 void Documents::withdraw(const KeyId &key, WithdrawCompletion done)
 {
+    if (!isKeyId(key.value)) {
+        m_deferred.emplace_back([done = std::move(done)] {
+            done(makeError(ErrorKind::InvalidArgument,
+                           "The text is not the id of a key.",
+                           "Use the id from the list of keys, not the key itself."));
+        });
+        return;
+    }
     const auto added = m_withdrawn.add({{.key = key, .withdrawnAtMs = m_context.wallMs()}});
     if (!added.empty()) {
         Logger.info("A key was withdrawn at this node.", {{"key", key.value}});
@@ -197,7 +208,8 @@
 std::vector<WithdrawnKey> Documents::addWithdrawn(std::vector<WithdrawnKey> keys)
 {
     std::erase_if(keys, [this, start = retentionStartMs()](const WithdrawnKey &withdrawn) {
-        return withdrawn.withdrawnAtMs < start && mayForget(withdrawn.key);
+        const bool outdated = withdrawn.withdrawnAtMs < start && mayForget(withdrawn.key);
+        return outdated || !isKeyId(withdrawn.key.value);
     });
     auto added = m_withdrawn.add(keys);
     if (!added.empty()) {
--- a/src/documents/internal/documents.h
+++ b/src/documents/internal/documents.h
@@ -58,6 +58,7 @@
     WithdrawalSpread m_withdrawalSpread;
     WithdrawalTable m_withdrawalTable;
     std::vector<std::shared_ptr<ApplyOperation>> m_applies;
+    std::vector<std::function<void()>> m_deferred; ///< Completions for the next tick.
     std::optional<TimePoint> m_completeSince; ///< Since when both documents are there.
     TimePoint m_nextRequestAt;
     TimePoint m_nextForgetAt;
--- a/src/documents/internal/keydocument.cpp
+++ b/src/documents/internal/keydocument.cpp
@@ -32,13 +32,6 @@
     return text.size() == DigestLength && text.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
-/// Ids become keys of rows and parts of log lines.
-bool isKeyId(const std::string &text)
-{
-    constexpr std::string_view Allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
-    return !text.empty() && text.size() <= LongestKeyId && text.find_first_not_of(Allowed) == std::string::npos;
-}
-
 Result<void> checkRecords(const std::vector<KeyRecord> &records)
 {
     std::set<std::string> ids;
@@ -64,6 +57,12 @@
 
 } // namespace
 
+bool isKeyId(std::string_view text)
+{
+    constexpr std::string_view Allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    return !text.empty() && text.size() <= LongestKeyId && text.find_first_not_of(Allowed) == std::string::npos;
+}
+
 std::string formatKeyDocument(const std::vector<KeyRecord> &records)
 {
     Json keys = Json::array();
--- a/src/documents/internal/withdrawnset.cpp
+++ b/src/documents/internal/withdrawnset.cpp
@@ -20,7 +20,7 @@
 {
     std::vector<WithdrawnKey> added;
     for (const WithdrawnKey &withdrawn : keys) {
-        if (!withdrawn.key.empty() && m_keys.emplace(withdrawn.key, withdrawn.withdrawnAtMs).second) {
+        if (m_keys.emplace(withdrawn.key, withdrawn.withdrawnAtMs).second) {
             m_hash ^= hashOf(withdrawn.key);
             added.push_back(withdrawn);
         }
--- a/src/documents/tests/fleet_tests.cpp
+++ b/src/documents/tests/fleet_tests.cpp
@@ -306,6 +306,7 @@
     fleet->run(30s);
     LONGS_EQUAL(4, configVersion(0));
     CHECK(!fleet->documents(0).isReady());
+    LONGS_EQUAL(0, fleet->platform.counters.reads);
     fleet->network.cutFromPlatform.clear();
     fleet->run(5s);
     CHECK(fleet->documents(0).isReady());
@@ -364,6 +365,23 @@
     LONGS_EQUAL(0, countBehind(3));
 }
 
+// Guards against an id that the table refuses, which would keep all later withdrawals from being written.
+TEST(Fleet, invalidKeyIdsAreRefused)
+{
+    makeFleet({.zones = 1, .nodesPerZone = 2});
+    std::optional<ErrorKind> told;
+    fleet->documents(0).withdraw(KeyId("a/\xff"), [&](const Result<void> &result) {
+        told = result.error().kind;
+    });
+    CHECK(!told.has_value());
+    fleet->documents(1).receive({.address = "0", .port = 7000},
+                                WithdrawalSync{.sender = NodeName("peer"), .keys = {{KeyId("b c"), 1}, {KeyId(), 1}}});
+    fleet->run(1s);
+    CHECK(told == ErrorKind::InvalidArgument);
+    LONGS_EQUAL(0, fleet->documents(0).withdrawnKeys().size());
+    LONGS_EQUAL(0, fleet->documents(1).withdrawnKeys().size());
+}
+
 // Guards against a document that the object store returns damaged.
 TEST(Fleet, damagedObjectIsNotApplied)
 {
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -159,7 +159,7 @@
 struct DocumentFetch {
     NodeName sender;
     DocumentKind kind = DocumentKind::Configuration;
-    std::uint64_t aboveVersion = 0;
+    std::uint64_t aboveVersion = 0; ///< Version in force at the sender; a receiver with an older one fetches it there.
 };
 
 struct DocumentPush {
--- a/src/platform/platformsetup.h
+++ b/src/platform/platformsetup.h
@@ -33,6 +33,7 @@
 /// For a daemon without a platform: keeps its own store and logs that it is not durable.
 PlatformServices makeMemoryPlatform(IExecutor &executor);
 
+/// The clock is read by the threads of the client, so that it must be safe to use from several threads.
 /// Errors of the services: Unavailable (the call cannot have reached the service: no connection, queue full or waited
 /// too long), OutcomeUnknown (a write whose answer is lost or failed), Timeout (a read without a usable answer),
 /// InvalidArgument and Conflict (the service refused the call without doing anything).
--- a/src/testing/manualexecutor.h
+++ b/src/testing/manualexecutor.h
@@ -45,6 +45,7 @@
         const TimePoint end = m_clock.now() + duration;
         while (runFirst(end)) {
         }
+        const std::lock_guard lock(m_mutex); // Threads that post read the clock.
         m_clock.advance(end - m_clock.now());
     }
 
