Refuse bodies on GET, HEAD and OPTIONS requests

Cause: cpp-httplib does not read the body of these methods, so its bytes were taken for the next request of the connection. A test sends a request hidden in a body.

--- a/src/transport/internal/httpedge.cpp
+++ b/src/transport/internal/httpedge.cpp
@@ -28,11 +28,17 @@
     BufferedStream *stream = nullptr;
     std::string target;
     bool headRead = false;
+    bool bodyUnread = false; ///< A body that the library does not read for this method.
     bool mustClose = false;
 };
 
 thread_local CurrentConnection currentConnection;
 
+bool hasBody(const httplib::Request &request)
+{
+    return request.has_header("Transfer-Encoding") || request.get_header_value<std::uint64_t>("Content-Length") > 0;
+}
+
 HttpRequest toHttpRequest(const httplib::Request &in, std::string body)
 {
     HttpRequest out;
@@ -212,6 +218,10 @@
 
     void respond(const HttpRequest &request, httplib::Response &response)
     {
+        if (currentConnection.bodyUnread) {
+            response.status = 400;
+            return;
+        }
         HttpResponse answer = m_handler.handle(request, currentConnection.stream->socket());
         currentConnection.stream->setDeadline(std::chrono::steady_clock::now() + m_settings.messageTimeout);
         answer.closeConnection |= m_draining;
@@ -236,6 +246,10 @@
         currentConnection.headRead = true;
         currentConnection.stream->endHead();
         currentConnection.target = request.target;
+        // Left on the connection, the bytes of such a body would be taken for the next request.
+        const bool readsBody = request.method == "POST" || request.method == "PUT" || request.method == "PATCH"
+            || request.method == "DELETE";
+        currentConnection.bodyUnread = !readsBody && hasBody(request);
         // The library matches paths by std::regex, which recurses once per character.
         request.path = "/";
         // Ranges are the upstream's business; the library would cut the answer once more.
@@ -248,7 +262,7 @@
 
     bool serveOne(BufferedStream &stream)
     {
-        currentConnection = {&stream, {}, false, false};
+        currentConnection = {&stream, {}, false, false, false};
         stream.setDeadline(std::chrono::steady_clock::now() + m_settings.messageTimeout);
         stream.limitHead(m_settings.maxHeadBytes);
         bool closed = false;
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -114,6 +114,17 @@
     CHECK(exchangeRaw(edge->port(), body).find("HTTP/1.1 413") == 0);
 }
 
+// Guards against a body that is taken for the next request of the connection, which can smuggle requests.
+TEST(HttpEdge, bodiesWhereNoneBelongAreRefusedAndEndTheConnection)
+{
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string head =
+        "GET /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(hidden.size()) + "\r\n\r\n";
+    const std::string answer = exchangeRaw(edge->port(), head + hidden);
+    CHECK(answer.find("HTTP/1.1 400") == 0);
+    CHECK(answer.find("/hidden") == std::string::npos);
+}
+
 // Guards against a request body that arrives cut off and is passed on as if it were whole.
 TEST(HttpEdge, shortBodiesAreNotHandled)
 {
