--- a/src/admission/internal/waitingqueue.cpp
+++ b/src/admission/internal/waitingqueue.cpp
@@ -10,6 +10,7 @@
 
 /// How long a lane serves its newest requests first after one could not finish in time.
 constexpr Duration NewestFirstPeriod = std::chrono::seconds(1);
+constexpr int DeferrableReserveDivisor = 4;
 
 } // namespace
 
@@ -25,7 +26,8 @@
 
 void WaitingQueue::configure(const AdmissionSettings &settings)
 {
-    m_weights = settings.weights;
+    m_deferrableReserve = settings.queueLimit / DeferrableReserveDivisor;
+    m_weights = {settings.weights.begin(), settings.weights.end()};
     for (Lane &lane : m_lanes) {
         lane.byShare.clear();
         for (const auto &[workspace, index] : lane.flowOf) {
@@ -72,7 +74,7 @@
 {
     std::vector<WaitingRequest> expired;
     while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
-        expired.push_back(*remove(m_expiries.begin()->second));
+        expired.push_back(*remove(TicketId{m_expiries.begin()->second}));
         noteHopeless(expired.back(), now);
     }
     return expired;
@@ -81,7 +83,7 @@
 void WaitingQueue::promoteAged(TimePoint now)
 {
     while (!m_agings.empty() && m_agings.begin()->first <= now) {
-        Line single = extract(m_agings.begin()->second);
+        Line single = extract(TicketId{m_agings.begin()->second});
         single.front().aged = true;
         single.front().agesAt.reset();
         insert(std::move(single));
@@ -91,17 +93,14 @@
 std::optional<TicketId> WaitingQueue::findVictim(const AdmissionRequest &arrival, TimePoint now) const
 {
     const std::size_t arrivalLane = laneOf(arrival.priority, arrival.inProgress);
-    std::size_t worst = LaneCount - 1;
-    while (worst > arrivalLane && m_lanes[worst].size == 0) {
-        --worst;
-    }
-    const Lane &lane = m_lanes[worst];
-    if (lane.size == 0) {
+    const std::optional<std::size_t> victims = victimLane(arrivalLane);
+    if (!victims) {
         return std::nullopt;
     }
+    const Lane &lane = m_lanes[*victims];
     const Flow &largest = lane.flows[lane.byShare.rbegin()->second];
     const bool lifo = newestFirst(lane, now);
-    if (worst > arrivalLane) {
+    if (*victims != arrivalLane) {
         return victimOf(largest, lifo);
     }
     const auto own = lane.flowOf.find(arrival.workspace);
@@ -117,6 +116,45 @@
     return std::nullopt;
 }
 
+std::optional<WaitingRequest> WaitingQueue::displaceFor(const AdmissionRequest &arrival, TimePoint now)
+{
+    const auto victim = findVictim(arrival, now);
+    if (!victim) {
+        return std::nullopt;
+    }
+    Lane &lane = m_lanes[m_positions.at(*victim).lane];
+    if (newestFirst(lane, now)) {
+        lane.newestFirstUntil = now + NewestFirstPeriod;
+    }
+    return remove(*victim);
+}
+
+std::optional<std::size_t> WaitingQueue::victimLane(std::size_t arrivalLane) const
+{
+    const bool reserveLeft = deferrableSize() < m_deferrableReserve;
+    const bool usesReserve = isDeferrable(arrivalLane) && reserveLeft;
+    // Critical requests give way to no other class.
+    const std::size_t first = usesReserve ? laneOf(PriorityClass::Interactive, true) : arrivalLane;
+    for (std::size_t lane = LaneCount; lane-- > first;) {
+        const bool kept = isDeferrable(lane) && (usesReserve || (!isDeferrable(arrivalLane) && reserveLeft));
+        if (m_lanes[lane].size > 0 && !kept) {
+            return lane;
+        }
+    }
+    return std::nullopt;
+}
+
+bool WaitingQueue::isDeferrable(std::size_t lane)
+{
+    return lane == laneOf(PriorityClass::Deferrable, true) || lane == laneOf(PriorityClass::Deferrable, false);
+}
+
+int WaitingQueue::deferrableSize() const
+{
+    return m_lanes[laneOf(PriorityClass::Deferrable, true)].size
+        + m_lanes[laneOf(PriorityClass::Deferrable, false)].size;
+}
+
 TicketId WaitingQueue::leastImportant(TimePoint now) const
 {
     const auto lane = std::find_if(m_lanes.rbegin(), m_lanes.rend(), [](const Lane &each) {
@@ -168,9 +206,9 @@
     const std::size_t flowIndex = flowOf(lane, entry.request.workspace);
     Flow &flow = lane.flows[flowIndex];
 
-    m_expiries.emplace(entry.expires, entry.ticket);
+    m_expiries.emplace(entry.expires, entry.ticket.value);
     if (entry.agesAt) {
-        m_agings.emplace(*entry.agesAt, entry.ticket);
+        m_agings.emplace(*entry.agesAt, entry.ticket.value);
     }
     const bool inserted = m_positions.emplace(entry.ticket, Position{laneIndex, flowIndex, single.begin()}).second;
     VT_INVARIANT(inserted, "a ticket waits at most once");
@@ -197,9 +235,9 @@
     Lane &lane = m_lanes[position.lane];
     Flow &flow = lane.flows[position.flow];
     const WaitingRequest &entry = *position.request;
-    m_expiries.erase({entry.expires, ticket});
+    m_expiries.erase({entry.expires, ticket.value});
     if (entry.agesAt) {
-        m_agings.erase({*entry.agesAt, ticket});
+        m_agings.erase({*entry.agesAt, ticket.value});
     }
     lane.byShare.erase({flow.share(), position.flow});
     Line &line = entry.aged ? flow.aged : flow.fresh;
--- a/src/quota/internal/quotaborrowing.cpp
+++ b/src/quota/internal/quotaborrowing.cpp
@@ -1,5 +1,7 @@
 #include "quota/internal/quotaservice.h"
 
+#include <algorithm>
+
 namespace vanillatack {
 
 namespace {
@@ -10,14 +12,16 @@
 
 constexpr std::chrono::milliseconds ShortestPause{10};
 constexpr std::chrono::milliseconds LongestPause{640};
+// The pause grows with the number of owners, which bounds the requests per second of an owner to all others.
+constexpr std::chrono::milliseconds LongestPausePerOwner{40};
 // While the pause is this short, the lender is probably still collecting from other owners.
 constexpr std::chrono::milliseconds HopefulPause{20};
 
-// A loan without demand for this long is returned when it is due for renewal.
-constexpr std::chrono::milliseconds IdleTime{500};
+// Below this wanted rate, tokens are asked for only when a request waits for one.
+constexpr std::int64_t PrefetchFrom = TokensPerRequest;
 
-// Tokens for this long are kept in stock; below, more are asked for.
-constexpr std::int64_t StockMilliseconds = 20;
+// Tokens for this long, two ticks, are kept in stock; below, more are asked for.
+constexpr std::int64_t StockMilliseconds = 100;
 
 // Keeps a request below 1,200 bytes: an item takes up to 90 bytes with a name of 30 characters.
 constexpr std::size_t ItemsPerMessage = 12;
@@ -48,6 +52,16 @@
     }
 }
 
+bool QuotaService::isIdle(const Workspace &workspace, TimePoint now) const
+{
+    return now - workspace.demand.countedAt() > workspace.demand.idleLimit(now);
+}
+
+Duration QuotaService::longestPause() const
+{
+    return std::min<Duration>(LongestPause, LongestPausePerOwner * static_cast<int>(m_owners.count()));
+}
+
 void QuotaService::borrowAsNode(Workspace &workspace, TimePoint now, Batches &batches)
 {
     const Owner *target = isPooled(workspace) ? m_owners.collector(workspace.name, now) : m_owners.home(now);
@@ -56,36 +70,44 @@
     }
     const NodeName lender = target->member.node;
     LoanBook &book = workspace.book;
-    auto held = book.heldLoans().find(lender);
-    if (held != book.heldLoans().end() && held->second.amount.rate == 0 && book.tokens() < TokensPerRequest) {
-        returnLoan(workspace, lender);
-        held = book.heldLoans().find(lender);
-    }
-    const QuotaAmount want = ownWant(workspace, now);
-    if (held == book.heldLoans().end() && (want.none() || now - workspace.lastDemand > IdleTime)) {
-        return;
-    }
+    const auto held = book.heldLoans().find(lender);
+    const bool holds = held != book.heldLoans().end();
+    const bool spent = holds && held->second.amount.rate == 0 && book.tokens() < TokensPerRequest;
     Ask &ask = workspace.asks[lender];
     if (ask.sequence != 0) {
         return;
     }
-    const bool due = held != book.heldLoans().end() && ask.renewAt <= now;
-    if (due && now - workspace.lastDemand > IdleTime && want.rate < 2 * TokensPerRequest) {
+    if (isIdle(workspace, now)) {
         returnLoan(workspace, lender);
         return;
     }
-    const QuotaAmount amount = held == book.heldLoans().end() ? QuotaAmount{} : held->second.amount;
-    const bool grown = want.rate > amount.rate + amount.rate / 2;
+    const QuotaAmount want = ownWant(workspace, now);
+    const bool due = holds && ask.renewAt <= now;
+    // Scarce tokens that nobody took until then serve other nodes better.
+    const bool unspent = due && ask.scarce && held->second.amount.rate == 0 && !spent;
+    const bool grown = want.rate > ask.amount.rate + ask.amount.rate / 2;
     const bool low = book.tokens() < std::max(TokensPerRequest, scaled(want.rate, StockMilliseconds, 1000));
-    if (due || ((grown || low) && ask.notBefore <= now)) {
+    const bool needed = workspace.waitingUntil > now || (want.rate >= PrefetchFrom && !ask.scarce);
+    if (needed && !unspent && (due || ((!holds || grown || low) && ask.notBefore <= now))) {
+        if (spent) {
+            // The request says that no loan is held, which gives the lender its capacity back.
+            book.giveUp(lender);
+        }
         addAsk(workspace, lender, want, now, batches);
+    } else if (spent || due) {
+        returnLoan(workspace, lender);
     }
 }
 
 void QuotaService::borrowAsOwner(Workspace &workspace, TimePoint now, Batches &batches)
 {
     const QuotaAmount fleet{workspace.fleet.rate, workspace.fleet.burst};
-    const QuotaAmount want = lowerOf(nodesWant(workspace, now), fleet);
+    QuotaAmount want = nodesWant(workspace, now);
+    if (isPooled(workspace)) {
+        // Small numbers vary more, and the tokens of shares that stay with their owners serve nobody.
+        want += want;
+    }
+    want = lowerOf(want, fleet);
     if (want.none() && workspace.book.heldLoans().empty()) {
         return;
     }
@@ -93,9 +115,15 @@
     for (const auto &[lender, loan] : workspace.book.heldLoans()) {
         total += loan.lendable;
     }
-    const QuotaAmount missing = want - total;
+    QuotaAmount missing = want - total;
+    if (workspace.book.tokens() < want.burst / 4) {
+        // The pool runs dry although its rate suffices on average. Tokens come with burst only.
+        missing.burst = std::max(missing.burst, want.burst / 2);
+        missing.rate = std::max(missing.rate, want.rate / 8);
+    }
     // Small differences are left alone, since the estimate of the demand moves all the time.
-    if (missing.rate > want.rate / 16 || missing.burst > want.burst / 16) {
+    const std::int64_t least = isPooled(workspace) ? 0 : 2 * TokensPerRequest;
+    if (missing.rate > std::max(want.rate / 16, least) || missing.burst > std::max(want.burst / 16, least)) {
         collect(workspace, positive(missing), now, batches);
     }
     renewAsOwner(
@@ -109,7 +137,14 @@
     const QuotaAmount share{workspace.fleet.rate / owners + 1, workspace.fleet.burst / owners + 1};
     // A share may be several times the average where zones are weighted.
     const QuotaAmount most{4 * share.rate, 4 * share.burst};
-    for (const Owner *lender : m_owners.lenders(workspace.name, now)) {
+    std::vector<const Owner *> lenders = m_owners.lenders(workspace.name, now);
+    // Owners that lend a share already have more only where zones are weighted.
+    std::stable_partition(lenders.begin(), lenders.end(), [&](const Owner *lender) {
+        const auto held = workspace.book.heldLoans().find(lender->member.node);
+        return held == workspace.book.heldLoans().end()
+            || isBelow(held->second.amount, {share.rate / 2, share.burst / 2});
+    });
+    for (const Owner *lender : lenders) {
         if (missing.none()) {
             return;
         }
@@ -120,7 +155,9 @@
         }
         const auto held = workspace.book.heldLoans().find(name);
         const QuotaAmount amount = held == workspace.book.heldLoans().end() ? QuotaAmount{} : held->second.amount;
-        const QuotaAmount extra = positive(lowerOf(lowerOf(missing, share), most - amount));
+        // Shares are pooled whole, because the rate of a share without its burst would be lost.
+        const QuotaAmount useful = isPooled(workspace) ? share : missing;
+        const QuotaAmount extra = positive(lowerOf(lowerOf(useful, share), most - amount));
         if (!extra.none()) {
             addAsk(workspace, name, amount + extra, now, batches);
             missing = positive(missing - extra);
@@ -135,13 +172,16 @@
     std::vector<NodeName> due;
     for (const auto &[lender, loan] : workspace.book.heldLoans()) {
         const Ask &ask = workspace.asks[lender];
-        if (ask.sequence == 0 && ask.renewAt <= now) {
+        const bool superfluous =
+            !surplus.none() && loan.amount.rate <= surplus.rate && loan.amount.burst <= surplus.burst;
+        if (ask.sequence == 0 && (ask.renewAt <= now || superfluous)) {
             due.push_back(lender);
         }
     }
     for (const NodeName &lender : due) {
         const QuotaAmount amount = workspace.book.heldLoans().at(lender).amount;
-        const QuotaAmount cut = lowerOf(amount, surplus);
+        const bool whole = isPooled(workspace) && (surplus.rate < amount.rate || surplus.burst < amount.burst);
+        const QuotaAmount cut = whole ? QuotaAmount{} : lowerOf(amount, surplus);
         const QuotaAmount left = amount - cut;
         surplus -= cut;
         if (isBelow(left, negligible)) {
@@ -163,12 +203,12 @@
         std::vector<std::pair<NodeName, QuotaAmount>> soon;
         for (const auto &[lender, loan] : workspace.book.heldLoans()) {
             const Ask &ask = workspace.asks[lender];
-            if (batches.contains(lender) && ask.sequence == 0 && ask.renewAt - now < m_settings.term / 5) {
+            if (batches.contains(lender) && ask.sequence == 0 && ask.renewAt - now < m_settings.term / 3) {
                 soon.emplace_back(lender, lends ? loan.amount : ownWant(workspace, now));
             }
         }
         for (const auto &[lender, amount] : soon) {
-            if (!amount.none() && now - workspace.lastDemand < IdleTime) {
+            if (!amount.none() && (lends || !isIdle(workspace, now))) {
                 addAsk(workspace, lender, amount, now, batches);
             }
         }
@@ -191,6 +231,13 @@
     }
 }
 
+bool QuotaService::isAsking(const Workspace &workspace) const
+{
+    return std::any_of(workspace.asks.begin(), workspace.asks.end(), [](const auto &entry) {
+        return entry.second.sequence != 0;
+    });
+}
+
 bool QuotaService::isLoanOnItsWay(const Workspace &workspace, TimePoint now) const
 {
     for (const auto &[lender, ask] : workspace.asks) {
@@ -214,16 +261,12 @@
     const auto held = workspace.book.heldLoans().find(lender);
     const LoanId loan = held == workspace.book.heldLoans().end() ? LoanId{} : held->second.loan;
     const bool lends = isLender(workspace, now);
-    const std::int64_t stock = lends ? 0 : workspace.book.tokens();
+    const std::int64_t tokens = lends ? amount.burst : amount.burst * 3 / 4 - workspace.book.tokens();
+    const std::int64_t least = workspace.book.tokens() < TokensPerRequest ? TokensPerRequest : 0;
     ask.sequence = UnsentSequence;
     ask.sentAt = now;
     ask.amount = amount;
-    batches[lender].push_back({workspace.name,
-                               amount.rate,
-                               amount.burst,
-                               std::max<std::int64_t>(0, amount.burst - stock),
-                               loan,
-                               Duration{0}});
+    batches[lender].push_back({workspace.name, amount.rate, amount.burst, std::max(least, tokens), loan, Duration{0}});
 }
 
 void QuotaService::sendBatches(Batches &batches, TimePoint now)
@@ -271,14 +314,18 @@
     ask.sequence = 0;
     const QuotaAmount amount{item.rate, item.burst};
     const TimePoint expiry = ask.sentAt + item.term;
+    ask.scarce = item.loan.value == 0 || (amount.rate == 0 && amount.burst <= TokensPerRequest);
     bool useful = false;
     if (item.loan.value != 0 && workspace.book.accept(lender, {item.loan, amount, amount, expiry}, item.tokens)) {
         ask.renewAt = now + (expiry - now) * m_renewalPercent / 100;
-        useful = workspace.book.tokens() >= TokensPerRequest || amount.rate >= ask.amount.rate - ask.amount.rate / 4;
+        const QuotaAmount mostOfAsked{ask.amount.rate - ask.amount.rate / 4, ask.amount.burst - ask.amount.burst / 4};
+        useful = amount.rate >= mostOfAsked.rate && amount.burst >= mostOfAsked.burst;
+        useful = useful || (!isLender(workspace, now) && workspace.book.tokens() >= TokensPerRequest);
     }
-    ask.pause = useful ? Duration(ShortestPause) : std::clamp<Duration>(ask.pause * 2, ShortestPause, LongestPause);
+    ask.pause = useful ? Duration(ShortestPause) : std::clamp<Duration>(ask.pause * 2, ShortestPause, longestPause());
     ask.notBefore = now + ask.pause;
-    notifyWaiting(workspace);
+    serveDeferred(workspace, now);
+    notifyWaiting(workspace, now);
 }
 
 void QuotaService::returnLoan(Workspace &workspace, const NodeName &lender)
--- a/src/quota/internal/quotalending.cpp
+++ b/src/quota/internal/quotalending.cpp
@@ -2,15 +2,29 @@
 
 #include "base/log.h"
 
+#include <utility>
+
 namespace vanillatack {
 
 namespace {
 
 constexpr Log QuotaLog("quota");
 
-// Loans of single tokens while the burst does not suffice for a bucket at each node. Longer than the round trip between
+// Of tokens while the burst does not suffice for a bucket at each node. Longer than the round trip between
 // regions, since the borrower counts from before its request.
-constexpr std::chrono::milliseconds TokenLoanTerm{400};
+constexpr std::chrono::milliseconds ScarceTokenTerm{400};
+
+// Below this rate a borrower gets tokens without a rate. The rate then refills the pool, where all borrowers can use
+// it, instead of buckets that are mostly full.
+constexpr std::int64_t RateLoanFrom = 5 * TokensPerRequest;
+// A bucket this small holds too few tokens for several to lie at each node.
+constexpr std::int64_t SmallBurst = 20 * TokensPerRequest;
+// With plenty for all, a rate saves messages, since its loan lasts for a term.
+constexpr std::int64_t RateLoanWhenPlenty = TokensPerRequest;
+
+// A request that cannot be granted is answered this much later when shares are being collected meanwhile; below the
+// time after which the borrower gives the request up.
+constexpr std::chrono::milliseconds DeferredAnswerTime{30};
 
 // Terms tried in percent of the longest. Shorter ones fit under the ends of loans that this lender holds itself.
 constexpr int TermPercents[] = {100, 70, 45, 25};
@@ -25,6 +39,20 @@
     return result;
 }
 
+BorrowGrant makeGrant(const NodeName &self, std::uint64_t sequence, const std::vector<LoanItem> &items)
+{
+    const LoanItem &first = items.front();
+    return {.sender = self,
+            .sequence = sequence,
+            .loan = first.loan,
+            .workspace = first.workspace,
+            .rate = first.rate,
+            .burst = first.burst,
+            .tokens = first.tokens,
+            .term = first.term,
+            .more = {items.begin() + 1, items.end()}};
+}
+
 LoanItem refusal(const WorkspaceName &workspace)
 {
     LoanItem item;
@@ -68,7 +96,7 @@
 
 void QuotaService::receive(const Endpoint & /*from*/, const BorrowRequest &message)
 {
-    const TimePoint now = m_clock.now();
+    const TimePoint now = currentTime();
     if (!takeRequestAllowance(now)) {
         QuotaLog.debug("Too many borrow requests, one is dropped.", {{"sender", message.sender.value}});
         return;
@@ -76,28 +104,39 @@
     std::vector<LoanItem> items{
         {message.workspace, message.rate, message.burst, message.tokens, message.held, Duration{0}}};
     items.insert(items.end(), message.more.begin(), message.more.end());
-    BorrowGrant reply;
-    reply.sender = m_self;
-    reply.sequence = message.sequence;
     std::vector<LoanItem> grants;
     for (const LoanItem &item : items) {
         LoanItem grant = serve(message, item, now);
-        if (!grant.workspace.empty()) {
+        if (grant.workspace.empty()) {
+            continue;
+        }
+        Workspace &workspace = m_workspaces.at(item.workspace);
+        if (grant.loan.value == 0 && isPooled(workspace) && isLender(workspace, now) && isAsking(workspace)) {
+            workspace.deferred.push_back(
+                {message.replyTo, message.sender, message.sequence, item, now + DeferredAnswerTime});
+        } else {
             grants.push_back(std::move(grant));
         }
     }
-    if (grants.empty()) {
-        return;
+    if (!grants.empty()) {
+        m_sender.send(message.replyTo, makeGrant(m_self, message.sequence, grants));
+    }
+}
+
+/// Answers requests for which shares have arrived, and those that waited long enough.
+void QuotaService::serveDeferred(Workspace &workspace, TimePoint now)
+{
+    std::vector<Deferred> left;
+    for (Deferred &request : std::exchange(workspace.deferred, {})) {
+        const BorrowerKey borrower{request.sender, request.sequence >> IncarnationShift};
+        const LoanItem grant = serveNode(workspace, borrower, request.item, now);
+        if (grant.loan.value == 0 && now < request.until && isAsking(workspace)) {
+            left.push_back(std::move(request));
+        } else {
+            m_sender.send(request.replyTo, makeGrant(m_self, request.sequence, {grant}));
+        }
     }
-    const LoanItem &first = grants.front();
-    reply.loan = first.loan;
-    reply.workspace = first.workspace;
-    reply.rate = first.rate;
-    reply.burst = first.burst;
-    reply.tokens = first.tokens;
-    reply.term = first.term;
-    reply.more.assign(grants.begin() + 1, grants.end());
-    m_sender.send(message.replyTo, reply);
+    workspace.deferred = std::move(left);
 }
 
 /// The grant for one workspace of a request; without a workspace name when the request is old or the workspace unknown.
@@ -113,12 +152,15 @@
     if (!workspace.book.beginRequest(borrower, message.sequence, item.loan)) {
         return {};
     }
+    std::erase_if(workspace.deferred, [&](const Deferred &request) {
+        return request.sender == message.sender;
+    });
     const bool collects = isPooled(workspace) && isLender(workspace, now);
     const bool fromOwner = m_owners.isOwner(message.sender) && !collects;
     workspace.wants[message.sender] = {{item.rate, item.burst}, borrower.incarnation, fromOwner, now};
     LoanItem grant = fromOwner ? serveOwner(workspace, borrower, item, now) : serveNode(workspace, borrower, item, now);
     if (!fromOwner && grant.burst < item.burst) {
-        // Collects from other owners at once instead of at the next tick, since the borrower will ask again soon.
+        // Collects from other owners at once instead of at the next tick, since a request may wait.
         Batches batches;
         borrow(workspace, now, batches);
         sendBatches(batches, now);
@@ -138,6 +180,12 @@
     if (wanted.burst > total.burst) {
         fair.burst = std::max<std::int64_t>(0, scaled(total.burst, item.burst, wanted.burst));
     }
+    const bool small = total.burst < SmallBurst;
+    const bool plenty = !small && wanted.rate <= total.rate / 4 * 3 && wanted.burst <= total.burst / 2;
+    if (item.rate < (plenty ? RateLoanWhenPlenty : RateLoanFrom) || fair.burst < TokensPerRequest) {
+        const bool scarce = small || fair.burst < TokensPerRequest || workspace.book.tokens() < total.burst / 2;
+        return lendTokens(workspace, borrower, item, scarce, now);
+    }
     QuotaAmount best;
     Duration bestTerm{0};
     for (const int percent : TermPercents) {
@@ -153,13 +201,33 @@
             break;
         }
     }
-    if (best.burst >= TokensPerRequest) {
-        return lend(workspace, borrower, best, item.tokens, bestTerm, now);
+    if (best.burst < TokensPerRequest) {
+        return lendTokens(workspace, borrower, item, true, now);
     }
-    // The burst does not suffice for a bucket at each node: lend single tokens that are used and returned.
-    const QuotaAmount free = workspace.book.available(borrower, lenderEnd(now, TokenLoanTerm));
-    if (free.burst >= TokensPerRequest && workspace.book.tokens() >= TokensPerRequest && item.tokens > 0) {
-        return lend(workspace, borrower, {0, TokensPerRequest}, TokensPerRequest, TokenLoanTerm, now);
+    // Borrowers fill their buckets to three quarters; this node's own demand gets as much.
+    const std::int64_t stock = workspace.book.tokens();
+    const std::int64_t spare = std::max(stock / 4, stock - ownWant(workspace, now).burst * 3 / 4);
+    return lend(workspace, borrower, best, std::min(item.tokens, spare), bestTerm, now);
+}
+
+/// Lends whole requests without a rate, one at a time when the burst is scarce.
+LoanItem QuotaService::lendTokens(Workspace &workspace,
+                                  const BorrowerKey &borrower,
+                                  const LoanItem &item,
+                                  bool scarce,
+                                  TimePoint now)
+{
+    const std::int64_t wanted = scarce ? TokensPerRequest : item.burst;
+    for (const int percent : TermPercents) {
+        const Duration term =
+            std::min<Duration>(m_settings.term * percent / 100, scarce ? ScarceTokenTerm : m_settings.term);
+        const std::int64_t burst = std::min(wanted, workspace.book.available(borrower, lenderEnd(now, term)).burst);
+        const std::int64_t whole = burst - burst % TokensPerRequest;
+        const std::int64_t tokens = std::min(std::max(item.tokens, TokensPerRequest), workspace.book.tokens());
+        // Without a token the loan helps only a borrower that still has some.
+        if (whole > 0 && (tokens >= TokensPerRequest || (item.loan.value != 0 && !scarce))) {
+            return lend(workspace, borrower, {0, whole}, tokens, term, now);
+        }
     }
     return refusal(workspace.name);
 }
@@ -208,7 +276,7 @@
 
 void QuotaService::receive(const Endpoint & /*from*/, const LoanReturn &message)
 {
-    const TimePoint now = m_clock.now();
+    const TimePoint now = currentTime();
     if (message.lenderIncarnation != m_incarnation) {
         return;
     }
@@ -219,9 +287,13 @@
         }
         advance(workspace, now);
         if (workspace.book.takeBack(message.sender, message.loan, message.tokens)) {
-            // Forgotten soon, but not at once: a borrower that returns single tokens asks again.
-            want->second.at = std::min(want->second.at, now - m_settings.term * 3 / 4);
-            notifyWaiting(workspace);
+            if (want->second.amount.rate >= RateLoanFrom) {
+                workspace.wants.erase(want);
+            } else {
+                // Forgotten soon, but not at once: a borrower that returns spent tokens asks again.
+                want->second.at = std::min(want->second.at, now - m_settings.term * 3 / 4);
+            }
+            notifyWaiting(workspace, now);
             return;
         }
     }
--- a/src/quota/internal/quotaservice.cpp
+++ b/src/quota/internal/quotaservice.cpp
@@ -3,14 +3,26 @@
 #include "base/invariant.h"
 #include "base/log.h"
 
+#include <utility>
+
 namespace vanillatack {
 
 namespace {
 
 constexpr Log QuotaLog("quota");
 
-// An owner whose share of the burst is below this pools it with the shares of the others.
-constexpr std::int64_t PoolBelowTokens = 2 * TokensPerRequest;
+// Owners whose shares are below one of these pool them at one owner, since random arrivals at one of them would too
+// often exceed its share while others have tokens. The rate bounds the load of the collecting owner.
+constexpr QuotaAmount PoolBelow{8 * TokensPerRequest, 8 * TokensPerRequest};
+
+// A caller that was told that a loan is on its way is assumed to wait this long.
+constexpr std::chrono::milliseconds CallerPatience{60};
+
+// A request waits when the own bucket will have a token for it this soon; about one tick.
+constexpr std::chrono::milliseconds RefillPatience{50};
+
+// A waiting caller tries again this soon after it was told of tokens.
+constexpr std::chrono::milliseconds RetryTime{10};
 
 } // namespace
 
@@ -29,6 +41,7 @@
     , m_endpoint(endpoint)
     , m_incarnation(incarnation)
     , m_settings(settings)
+    , m_lastRun(clock.now())
     , m_owners(self)
     , m_nextSequence((incarnation << IncarnationShift) + 1)
     , m_nextLoan((incarnation << IncarnationShift) + 1)
@@ -38,11 +51,13 @@
 {
     VT_INVARIANT(settings.startHold >= lenderEnd(TimePoint{}, settings.term) - TimePoint{},
                  "A started owner must wait until earlier loans have ended.");
+    VT_INVARIANT(settings.pauseLimit + settings.shareHold + settings.term + settings.driftMargin < settings.raiseDelay,
+                 "A paused owner must learn a lower share before others use a higher one.");
 }
 
 void QuotaService::configure(const std::map<WorkspaceName, WorkspaceQuota> &quotas, const ShareFraction &share)
 {
-    const TimePoint now = m_clock.now();
+    const TimePoint now = currentTime();
     const TimePoint forceAt = now + (m_configured ? m_settings.raiseDelay : m_settings.startHold);
     m_configured = true;
     for (const auto &[name, quota] : quotas) {
@@ -65,16 +80,28 @@
     m_owners.set(owners);
 }
 
+TimePoint QuotaService::currentTime()
+{
+    const TimePoint now = m_clock.now();
+    if (now - m_lastRun > m_settings.pauseLimit) {
+        m_shareHeldUntil = now + m_settings.shareHold;
+        QuotaLog.warning("This node was paused, its share is held.");
+    }
+    m_lastRun = now;
+    return now;
+}
+
 void QuotaService::advance(Workspace &workspace, TimePoint now)
 {
     workspace.book.advance(now);
-    workspace.book.setOwn(workspace.share.effective(now));
+    workspace.book.setOwn(now < m_shareHeldUntil ? QuotaAmount{} : workspace.share.effective(now));
 }
 
 bool QuotaService::isPooled(const Workspace &workspace) const
 {
     const auto owners = static_cast<std::int64_t>(m_owners.count());
-    return owners > 1 && workspace.fleet.burst / owners < PoolBelowTokens;
+    return owners > 1
+        && (workspace.fleet.rate / owners < PoolBelow.rate || workspace.fleet.burst / owners < PoolBelow.burst);
 }
 
 bool QuotaService::isLender(const Workspace &workspace, TimePoint now) const
@@ -107,10 +134,12 @@
     return LoanId{m_nextLoan++};
 }
 
-void QuotaService::notifyWaiting(Workspace &workspace)
+void QuotaService::notifyWaiting(Workspace &workspace, TimePoint now)
 {
-    if (workspace.waiting && workspace.book.tokens() >= TokensPerRequest) {
-        workspace.waiting = false;
+    if (workspace.waitingUntil > now && workspace.book.tokens() >= TokensPerRequest) {
+        workspace.waitingUntil = {};
+        workspace.retries = std::exchange(workspace.waiting, 0);
+        workspace.retriesUntil = now + RetryTime;
         m_listener.onTokens(workspace.name);
     }
 }
@@ -121,15 +150,22 @@
     if (found == m_workspaces.end() || found->second.fleet.rate <= 0) {
         return {.retryAfter = std::chrono::seconds(1)};
     }
-    const TimePoint now = m_clock.now();
+    const TimePoint now = currentTime();
     Workspace &workspace = found->second;
     advance(workspace, now);
-    workspace.demand.count(now);
-    workspace.lastDemand = now;
+    if (workspace.retries > 0 && now < workspace.retriesUntil) {
+        --workspace.retries;
+    } else {
+        workspace.demand.count(now);
+    }
     QuotaDecision decision;
     decision.admitted = workspace.book.take();
-    workspace.waiting = workspace.waiting || !decision.admitted;
-    if (workspace.book.tokens() < TokensPerRequest) {
+    if (!decision.admitted) {
+        workspace.waiting = workspace.waitingUntil > now ? workspace.waiting : 0;
+        workspace.waitingUntil = now + CallerPatience;
+    }
+    if (!decision.admitted) {
+        // Without a waiting request, the next tick asks for all workspaces in one message.
         Batches batches;
         borrow(workspace, now, batches);
         sendBatches(batches, now);
@@ -139,16 +175,18 @@
         return decision;
     }
     ++workspace.refused;
-    decision.borrowing = isLoanOnItsWay(workspace, now);
-    const std::int64_t missing = TokensPerRequest - workspace.book.tokens();
+    const std::int64_t missing = (workspace.waiting + 1) * TokensPerRequest - workspace.book.tokens();
     const std::int64_t rate = std::max(workspace.book.capacity().rate, workspace.fleet.rate / 100);
     decision.retryAfter = Duration(std::min(scaled(missing, 1'000'000'000, rate), std::int64_t{5'000'000'000}));
+    decision.borrowing = isLoanOnItsWay(workspace, now)
+        || (workspace.book.capacity().burst >= TokensPerRequest && decision.retryAfter < RefillPatience);
+    workspace.waiting += decision.borrowing ? 1 : 0;
     return decision;
 }
 
 void QuotaService::tick()
 {
-    const TimePoint now = m_clock.now();
+    const TimePoint now = currentTime();
     Batches batches;
     for (auto &[name, workspace] : m_workspaces) {
         advance(workspace, now);
@@ -156,8 +194,9 @@
             return now - entry.second.at > 2 * m_settings.term;
         });
         noteTimeouts(workspace, now);
+        serveDeferred(workspace, now);
         borrow(workspace, now, batches);
-        notifyWaiting(workspace);
+        notifyWaiting(workspace, now);
     }
     renewAlongside(now, batches);
     sendBatches(batches, now);
@@ -165,7 +204,7 @@
 
 void QuotaService::receive(const Endpoint & /*from*/, const BorrowGrant &message)
 {
-    const TimePoint now = m_clock.now();
+    const TimePoint now = currentTime();
     m_owners.noteAnswer(message.sender);
     acceptItem(message.sender,
                message.sequence,
--- a/src/quota/internal/quotaservice.h
+++ b/src/quota/internal/quotaservice.h
@@ -44,6 +44,7 @@
         TimePoint notBefore; ///< Of the next request for a higher amount.
         Duration pause{0}; ///< Doubled each time the lender gives little.
         TimePoint renewAt; ///< Of the loan held.
+        bool scarce = false; ///< The lender had nothing or little to give.
     };
 
     /// What a borrower last asked for.
@@ -54,6 +55,15 @@
         TimePoint at;
     };
 
+    /// A request that waits for shares that are being collected.
+    struct Deferred {
+        Endpoint replyTo;
+        NodeName sender;
+        std::uint64_t sequence = 0;
+        LoanItem item;
+        TimePoint until;
+    };
+
     struct Workspace {
         WorkspaceName name;
         WorkspaceQuota fleet; ///< Zero when the configuration no longer has it.
@@ -62,8 +72,11 @@
         Demand demand;
         std::map<NodeName, Ask> asks;
         std::map<NodeName, Want> wants;
-        TimePoint lastDemand;
-        bool waiting = false; ///< A request found no token since tokens last arrived.
+        std::vector<Deferred> deferred;
+        TimePoint waitingUntil; ///< A caller probably waits for a token until then.
+        int waiting = 0; ///< Requests that were told to wait since tokens last arrived.
+        int retries = 0; ///< Of these requests after tokens arrived; not counted as demand again.
+        TimePoint retriesUntil;
         std::uint64_t admitted = 0;
         std::uint64_t refused = 0;
     };
@@ -71,13 +84,15 @@
     using Batches = std::map<NodeName, std::vector<LoanItem>>;
 
     // ---- both roles
+    /// The time now; notices when this node was paused.
+    TimePoint currentTime();
     void advance(Workspace &workspace, TimePoint now);
     [[nodiscard]] bool isPooled(const Workspace &workspace) const;
     /// Whether this node lends this workspace to nodes now, rather than borrowing from another owner.
     [[nodiscard]] bool isLender(const Workspace &workspace, TimePoint now) const;
     [[nodiscard]] QuotaAmount ownWant(const Workspace &workspace, TimePoint now) const;
     [[nodiscard]] QuotaAmount nodesWant(const Workspace &workspace, TimePoint now) const;
-    void notifyWaiting(Workspace &workspace);
+    void notifyWaiting(Workspace &workspace, TimePoint now);
     LoanId newLoan();
 
     // ---- borrower
@@ -93,14 +108,20 @@
     void returnLoan(Workspace &workspace, const NodeName &lender);
     void sendBatches(Batches &batches, TimePoint now);
     void acceptItem(const NodeName &lender, std::uint64_t sequence, const LoanItem &item, TimePoint now);
+    [[nodiscard]] bool isIdle(const Workspace &workspace, TimePoint now) const;
+    [[nodiscard]] Duration longestPause() const;
     [[nodiscard]] Duration answerTimeout(const NodeName &lender) const;
+    [[nodiscard]] bool isAsking(const Workspace &workspace) const;
     [[nodiscard]] bool isLoanOnItsWay(const Workspace &workspace, TimePoint now) const;
 
     // ---- lender
     [[nodiscard]] QuotaAmount lentToOwners(const Workspace &workspace) const;
     bool takeRequestAllowance(TimePoint now);
+    void serveDeferred(Workspace &workspace, TimePoint now);
     LoanItem serve(const BorrowRequest &message, const LoanItem &item, TimePoint now);
     LoanItem serveNode(Workspace &workspace, const BorrowerKey &borrower, const LoanItem &item, TimePoint now);
+    LoanItem
+    lendTokens(Workspace &workspace, const BorrowerKey &borrower, const LoanItem &item, bool scarce, TimePoint now);
     LoanItem serveOwner(Workspace &workspace, const BorrowerKey &borrower, const LoanItem &item, TimePoint now);
     LoanItem lend(Workspace &workspace,
                   const BorrowerKey &borrower,
@@ -118,6 +139,8 @@
     std::uint64_t m_incarnation;
     QuotaSettings m_settings;
     bool m_configured = false;
+    TimePoint m_lastRun;
+    TimePoint m_shareHeldUntil;
     Owners m_owners;
     std::map<WorkspaceName, Workspace> m_workspaces;
     std::uint64_t m_nextSequence;
