Hold every upstream in the admission tests to the stated target

Cause: two upstreams were checked at 0.8 and 0.85 of capacity; the target of the design is 0.95. Change: each has a test of its own with the bound 0.95.

--- a/src/admission/tests/limit_tests.cpp
+++ b/src/admission/tests/limit_tests.cpp
@@ -35,6 +35,17 @@
     return result;
 }
 
+/// Goodput at 3 times capacity over capacity.
+double goodputShare(const UpstreamSettings &settings, std::uint64_t seed)
+{
+    Simulation simulation(settings, seed);
+    simulation.addStream({.workspace = "a", .perSecond = 3 * simulation.capacity(), .deadline = 3s});
+    simulation.run(10s);
+    const double share = simulation.run(30s) / simulation.capacity();
+    report("goodput of other upstreams at 3x", share);
+    return share;
+}
+
 } // namespace
 
 TEST_GROUP(ConcurrencyLimit)
@@ -64,25 +75,24 @@
     report("goodput 2 s after slow-down over before", worst.after, naiveAfter);
 }
 
-// Guards against a limit that follows the noise of upstreams with few slots, skewed latencies or refusals of their own.
-// Below some hundred requests per second the noise costs more than the target of 0.95 in some runs, see the notes.
+// Guards against a limit that follows skewed latencies or refusals of the upstream's own.
 TEST(ConcurrencyLimit, goodputOfOtherUpstreams)
 {
-    const std::vector<std::pair<UpstreamSettings, double>> upstreams = {
-        {{.slots = 100, .serviceSeconds = 0.02, .variation = 1}, 0.95},
-        {{.slots = 50, .serviceSeconds = 0.005, .thrashing = 0.5}, 0.95},
-        {{.slots = 100, .shedAbove = 100}, 0.95},
-        {{.slots = 40, .serviceSeconds = 0.3, .variation = 0.7}, 0.8},
-        {{.slots = 8, .serviceSeconds = 0.05, .variation = 1}, 0.85},
-    };
-    for (const auto &[settings, lowest] : upstreams) {
-        Simulation simulation(settings, seed);
-        simulation.addStream({.workspace = "a", .perSecond = 3 * simulation.capacity(), .deadline = 3s});
-        simulation.run(10s);
-        const double share = simulation.run(30s) / simulation.capacity();
-        report("goodput of other upstreams at 3x", share);
-        CHECK(share >= lowest);
-    }
+    CHECK(goodputShare({.slots = 100, .serviceSeconds = 0.02, .variation = 1}, seed) >= 0.95);
+    CHECK(goodputShare({.slots = 50, .serviceSeconds = 0.005, .thrashing = 0.5}, seed) >= 0.95);
+    CHECK(goodputShare({.slots = 100, .shedAbove = 100}, seed) >= 0.95);
+}
+
+// Guards against a limit that follows the noise of an upstream with few slots.
+TEST(ConcurrencyLimit, goodputOfAnUpstreamWithFewSlots)
+{
+    CHECK(goodputShare({.slots = 8, .serviceSeconds = 0.05, .variation = 1}, seed) >= 0.95);
+}
+
+// Guards against a limit that follows the noise of an upstream with long service times.
+TEST(ConcurrencyLimit, goodputOfASlowUpstream)
+{
+    CHECK(goodputShare({.slots = 40, .serviceSeconds = 0.3, .variation = 0.7}, seed) >= 0.95);
 }
 
 // Guards against an all-time minimum as the baseline, which would keep the limit low for good.
