--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Log log("admission");
+constexpr Log AdmissionLog("admission");
 
 constexpr Duration ShortestRetryAfter = 100ms;
 constexpr Duration LongestRetryAfter = 5s;
@@ -88,8 +88,8 @@
 {
     const TimePoint now = m_clock.now();
     if (m_running.erase(ticket) == 0) {
-        log.error("A request was finished that does not run. Report this as a fault.",
-                  {{"ticket", std::to_string(ticket.value)}});
+        AdmissionLog.error("A request was finished that does not run. Report this as a fault.",
+                           {{"ticket", std::to_string(ticket.value)}});
         return;
     }
     m_limit.recordRunning(now, running());
@@ -167,11 +167,11 @@
     if (m_queue.size() < m_settings.queueLimit) {
         return true;
     }
-    const auto victim = m_queue.findVictim(request, now);
+    const auto victim = m_queue.displaceFor(request, now);
     if (!victim) {
         return false;
     }
-    refuse(*m_queue.remove(*victim), RefusalKind::Overloaded);
+    refuse(*victim, RefusalKind::Overloaded);
     return true;
 }
 
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -133,7 +133,8 @@
 struct ZoneDigest {
     NodeName sender;
     ZoneName zone;
-    std::uint64_t version = 0; ///< Milliseconds of wall time at creation, strictly growing per zone.
+    std::uint64_t version =
+        0; ///< Milliseconds of wall time at creation, 16 bits of its maker; grows strictly per zone.
     std::vector<ServiceSummary> services;
     std::vector<Member> relays;
     std::vector<Member> shareOwners; ///< Nodes that hold quota share slots.
@@ -159,7 +160,7 @@
 struct DocumentFetch {
     NodeName sender;
     DocumentKind kind = DocumentKind::Configuration;
-    std::uint64_t aboveVersion = 0;
+    std::uint64_t aboveVersion = 0; ///< Version in force at the sender; a receiver with an older one fetches it there.
 };
 
 struct DocumentPush {
@@ -229,6 +230,14 @@
     std::int64_t tokens = 0; ///< Unused tokens that go back to the lender.
 };
 
+// ---- burn figures ------------------------------------------------------------------------------------------------
+
+/// Burn buckets of one node for the collector of its zone, as JSON of formatBurnCollection().
+struct BurnPush {
+    NodeName sender;
+    std::string content;
+};
+
 using ControlMessage = std::variant<Ping,
                                     PingIndirect,
                                     Ack,
@@ -239,7 +248,8 @@
                                     WithdrawalSync,
                                     BorrowRequest,
                                     BorrowGrant,
-                                    LoanReturn>;
+                                    LoanReturn,
+                                    BurnPush>;
 
 /// Sends control messages to other nodes. Messages can be lost, late, duplicated or out of order.
 class IMessageSender
--- a/src/transport/internal/httpedge.cpp
+++ b/src/transport/internal/httpedge.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int ListenBacklog = 1024;
+constexpr std::size_t KeepAliveMaxRequests = 1'000'000;
 
 // The library compresses bodies itself when it sees this header; the upstream's encoding must pass unchanged.
 constexpr const char *AcceptEncoding = "Accept-Encoding";
@@ -27,11 +28,17 @@
     BufferedStream *stream = nullptr;
     std::string target;
     bool headRead = false;
+    bool bodyUnread = false; ///< A body that the library does not read for this method.
     bool mustClose = false;
 };
 
 thread_local CurrentConnection currentConnection;
 
+bool hasBody(const httplib::Request &request)
+{
+    return request.has_header("Transfer-Encoding") || request.get_header_value<std::uint64_t>("Content-Length") > 0;
+}
+
 HttpRequest toHttpRequest(const httplib::Request &in, std::string body)
 {
     HttpRequest out;
@@ -119,6 +126,9 @@
         addHandlers();
         set_payload_max_length(settings.maxBodyBytes);
         set_tcp_nodelay(true);
+        // For the Keep-Alive header of responses; the loop over requests is this class's own.
+        set_keep_alive_max_count(KeepAliveMaxRequests);
+        set_keep_alive_timeout(std::chrono::duration_cast<std::chrono::seconds>(settings.idleTimeout).count());
         new_task_queue = [this] {
             return new TaskQueue(m_threads, m_idle); // Deleted by the library.
         };
@@ -208,6 +218,10 @@
 
     void respond(const HttpRequest &request, httplib::Response &response)
     {
+        if (currentConnection.bodyUnread) {
+            response.status = 400;
+            return;
+        }
         HttpResponse answer = m_handler.handle(request, currentConnection.stream->socket());
         currentConnection.stream->setDeadline(std::chrono::steady_clock::now() + m_settings.messageTimeout);
         answer.closeConnection |= m_draining;
@@ -232,6 +246,10 @@
         currentConnection.headRead = true;
         currentConnection.stream->endHead();
         currentConnection.target = request.target;
+        // Left on the connection, the bytes of such a body would be taken for the next request.
+        const bool readsBody = request.method == "POST" || request.method == "PUT" || request.method == "PATCH"
+            || request.method == "DELETE";
+        currentConnection.bodyUnread = !readsBody && hasBody(request);
         // The library matches paths by std::regex, which recurses once per character.
         request.path = "/";
         // Ranges are the upstream's business; the library would cut the answer once more.
@@ -244,7 +262,7 @@
 
     bool serveOne(BufferedStream &stream)
     {
-        currentConnection = {&stream, {}, false, false};
+        currentConnection = {&stream, {}, false, false, false};
         stream.setDeadline(std::chrono::steady_clock::now() + m_settings.messageTimeout);
         stream.limitHead(m_settings.maxHeadBytes);
         bool closed = false;
