--- a/src/daemon/internal/adminservice.cpp
+++ b/src/daemon/internal/adminservice.cpp
@@ -53,6 +53,23 @@
     return static_cast<double>(tokens) / static_cast<double>(TokensPerRequest);
 }
 
+std::vector<BurnBucket> bucketsOf(const std::map<BurnKey, BurnCounts> &counts)
+{
+    std::vector<BurnBucket> buckets;
+    for (const auto &[key, count] : counts) {
+        BurnBucket bucket;
+        bucket.minute = key.minute;
+        bucket.route = key.route;
+        bucket.workspace = key.workspace;
+        bucket.spanMinutes = key.spanMinutes;
+        bucket.good = count.good;
+        bucket.bad = count.bad;
+        bucket.refusals = count.refusals;
+        buckets.push_back(bucket);
+    }
+    return buckets;
+}
+
 WorkspaceView viewWorkspace(const WorkspaceConfig &workspace, const QuotaSnapshot &quota)
 {
     WorkspaceView view;
@@ -356,7 +373,11 @@
     figures.nowMinute = std::chrono::duration_cast<std::chrono::minutes>(wallTime).count();
     figures.objectives = objectivesOf(m_node.config());
     figures.missingZones = collected.value().missingZones;
-    figures.buckets = collected.value().buckets;
+    // Minutes of the last hours and sums of earlier hours, so that the answer for 30 days stays small.
+    const std::int64_t firstMinute = firstSingleMinute(figures.nowMinute);
+    for (const auto &[source, counts] : collected.value().buckets.sources()) {
+        figures.buckets.add(source, sumHours(bucketsOf(counts), firstMinute));
+    }
     return figures;
 }
 
