Do not clear the read buffer for each read

Cause: the profile of a daemon at 350 calls/s showed memset at 2.9% of its time: the 16 KiB read buffer was grown, and so zeroed, before each read. Change: the buffer keeps its size; two constants are written without an implicit widening that the linter reports.

--- a/src/transport/internal/bufferedstream.cpp
+++ b/src/transport/internal/bufferedstream.cpp
@@ -65,7 +65,7 @@
 
 WaitResult BufferedStream::waitForData(TimePoint deadline)
 {
-    if (m_inputPosition < m_input.size()) {
+    if (m_inputPosition < m_inputEnd) {
         return WaitResult::Ready;
     }
     return waitReadable(m_socket, m_cancelSocket, deadline);
@@ -146,9 +146,10 @@
     if (result != WaitResult::Ready) {
         return false;
     }
+    // Sized once: growing the buffer again for each read would fill it with zeros first.
     m_input.resize(ReadChunkBytes);
     const ssize_t count = ::recv(m_socket, m_input.data(), m_input.size(), 0);
-    m_input.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    m_inputEnd = static_cast<std::size_t>(std::max<ssize_t>(count, 0));
     m_inputPosition = 0;
     m_received |= count > 0;
     return count > 0;
@@ -156,10 +157,10 @@
 
 ssize_t BufferedStream::read(char *target, size_t size)
 {
-    if (m_inputPosition >= m_input.size() && !fill()) {
+    if (m_inputPosition >= m_inputEnd && !fill()) {
         return m_timedOut || m_cancelled ? -1 : 0;
     }
-    std::size_t count = std::min(size, m_input.size() - m_inputPosition);
+    std::size_t count = std::min(size, m_inputEnd - m_inputPosition);
     if (m_headLimited) {
         count = std::min(count, m_headLeft);
         m_headTooLarge = count == 0;
--- a/src/transport/internal/bufferedstream.h
+++ b/src/transport/internal/bufferedstream.h
@@ -63,6 +63,7 @@
     TimePoint m_deadline = TimePoint::max();
     std::string m_input;
     std::size_t m_inputPosition = 0;
+    std::size_t m_inputEnd = 0;
     std::string m_output;
     std::size_t m_headLeft = 0;
     bool m_headLimited = false;
--- a/src/transport/nodelink.h
+++ b/src/transport/nodelink.h
@@ -39,7 +39,7 @@
     Endpoint listen; ///< TCP and UDP.
     std::string secret; ///< Shared by all nodes of the fleet.
     std::size_t maxConnections = 4000;
-    std::size_t maxFrameBytes = 24 * 1024 * 1024;
+    std::size_t maxFrameBytes = std::size_t{24} << 20;
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration handshakeTimeout = std::chrono::seconds(2);
     Duration idleLifetime = std::chrono::seconds(30); ///< The calling side closes earlier than the called side.
--- a/src/transport/upstreamclient.h
+++ b/src/transport/upstreamclient.h
@@ -33,7 +33,7 @@
     Duration connectTimeout = std::chrono::milliseconds(1000);
     Duration idleLifetime = std::chrono::seconds(4); ///< Below the keep-alive timeout of upstreams.
     std::size_t maxIdle = 512;
-    std::size_t maxBodyBytes = 16 * 1024 * 1024; ///< A larger response counts as broken.
+    std::size_t maxBodyBytes = std::size_t{16} << 20; ///< A larger response counts as broken.
 };
 
 std::unique_ptr<IUpstreamClient> makeUpstreamClient(const UpstreamClientSettings &settings);
