Test the decisions of a node over a small fleet

Cause: src/node had no tests, although it joins keys, quota, attempts, claims and admission, and each of its rules spans several of these parts.

--- /dev/null
+++ b/src/node/tests/nodefleet.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "node/tests/fakes.h"
+#include "platform/platformsetup.h"
+#include "statechart/builtincharts.h"
+#include "testing/manualexecutor.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace vanillatack {
+
+struct Outcome {
+    Refusal refusal;
+    StoredAnswer answer;
+};
+
+struct WorkResult {
+    UpstreamEnd end{true, true, false, false, 200};
+    std::string body;
+};
+
+/// Nodes of one zone in virtual time. Requests run synchronously, in the steps of the daemon's shells.
+struct NodeFleet {
+    struct Instance final : IMessageSender, INodeListener {
+        NodeFleet &fleet;
+        const SelfDescription self;
+        const ServiceName service;
+        std::unique_ptr<INode> node;
+
+        Instance(NodeFleet &owner, std::uint16_t port, const std::string &name)
+            : fleet(owner)
+            , self{NodeName("n" + std::to_string(port)),
+                   ZoneName("z"),
+                   {"10.0.0.1", port},
+                   port == 1 ? 0 : -1,
+                   {{"10.0.0.1", 0}}}
+            , service(name)
+            , node(makeNode({owner.clock,
+                             owner.random,
+                             *this,
+                             owner.table,
+                             *owner.platform.objects,
+                             owner.metrics,
+                             *this,
+                             owner.charts.charts.at("upstream")},
+                            self))
+        {
+        }
+        void send(const Endpoint &to, const ControlMessage &message) override
+        {
+            fleet.executor.postAfter(std::chrono::microseconds(500), [this, to, message] {
+                fleet.nodes.at(to.port)->node->receive(self.endpoint, message);
+            });
+        }
+        void onTicket(TicketId) override // The fixture polls instead of waiting.
+        {
+        }
+        void onTokens(const WorkspaceName &) override
+        {
+        }
+    };
+
+    ManualClock clock;
+    SeededRandom random;
+    ManualExecutor executor{clock};
+    PlatformServices platform = makeMemoryPlatform(executor);
+    FaultyTable table{*platform.table, executor};
+    SilentMetrics metrics;
+    BuiltInCharts charts = loadBuiltInCharts();
+    std::vector<std::unique_ptr<Instance>> nodes;
+    std::function<WorkResult(std::size_t node, const CallRequest &, const IngressStart &)> upstream =
+        [](std::size_t, const CallRequest &, const IngressStart &) {
+            return WorkResult{};
+        };
+    std::function<LinkFault(const CallRequest &)> link = [](const CallRequest &) {
+        return LinkFault::None;
+    };
+    int calls = 0; ///< Root and inner requests that made an attempt.
+    int attempts = 0;
+
+    /// One node for each service name; node 1 holds the quota of the zone, so that the others borrow.
+    explicit NodeFleet(const std::vector<std::string> &services, std::uint64_t seed = 1)
+        : random(seed)
+    {
+        for (const std::string &service : services) {
+            nodes.push_back(std::make_unique<Instance>(*this, static_cast<std::uint16_t>(nodes.size()), service));
+        }
+    }
+    INode &node(std::size_t index)
+    {
+        return *nodes.at(index)->node;
+    }
+    void apply(DocumentKind kind, const std::string &content)
+    {
+        IDocuments &documents = node(0).documents();
+        std::optional<std::string> problem = "no answer";
+        documents.apply({kind, documents.current(kind).version, content, "test", "test"}, [&](const auto &result) {
+            problem = result ? std::optional<std::string>() : result.error().text();
+        });
+        run(std::chrono::seconds(2));
+        STRCMP_EQUAL("", problem.value_or("").c_str());
+    }
+    void run(Duration duration)
+    {
+        for (const TimePoint end = clock.now() + duration; clock.now() < end;) {
+            executor.runFor(std::chrono::milliseconds(5));
+            for (const auto &each : nodes) {
+                CHECK(each->node->announce({each->service, {"127.0.0.1", 1}, 50, "ready"}).has_value());
+                each->node->tick();
+            }
+        }
+    }
+    Outcome request(std::size_t index, const EntryRequest &entry, const std::string &body = {})
+    {
+        EntryDecision decision = node(index).enter(entry);
+        for (int wait = 0; decision.outcome == EntryOutcome::WaitForTokens; ++wait) {
+            run(std::chrono::milliseconds(5));
+            decision = node(index).resumeEntry(decision.request, wait >= 5);
+        }
+        if (decision.outcome == EntryOutcome::Refused) {
+            return {decision.refusal, {}};
+        }
+        Outcome outcome;
+        if (!decision.needsClaim || claim(node(index), decision, entry.method + entry.target + body, outcome)) {
+            outcome = attempt(node(index), decision.request, entry, body);
+        }
+        node(index).leave(decision.request, outcome.answer, outcome.refusal);
+        return outcome;
+    }
+    /// Whether the request may be sent; otherwise the outcome is set.
+    bool claim(INode &entry, const EntryDecision &decision, const std::string &digest, Outcome &outcome)
+    {
+        const auto result = std::make_shared<std::optional<ClaimResult>>();
+        entry.claim(decision.request, digest, [result](const ClaimResult &given) {
+            *result = given;
+        });
+        while (!*result && clock.now() < decision.deadline) {
+            run(std::chrono::milliseconds(5));
+        }
+        const ClaimResult given = result->value_or(ClaimResult{});
+        outcome.answer = given.answer;
+        if (given.outcome == ClaimOutcome::InProgress) {
+            outcome.refusal = {RefusalKind::DuplicateInProgress, RunState::Unknown, given.retryAfter};
+        } else if (given.outcome == ClaimOutcome::Mismatch) {
+            outcome.refusal = {RefusalKind::IdempotencyMismatch, RunState::NotRun, given.retryAfter};
+        } else if (given.outcome == ClaimOutcome::Unavailable) {
+            outcome.refusal = {RefusalKind::StoreUnavailable, RunState::NotRun, std::chrono::seconds(1)};
+        }
+        return given.outcome == ClaimOutcome::Acquired;
+    }
+    Outcome attempt(INode &entry, RequestId id, const EntryRequest &request, const std::string &body)
+    {
+        for (bool first = true;; first = false) {
+            AttemptPlan plan = entry.planAttempt(id);
+            if (plan.outcome == PlanOutcome::Refused) {
+                return {plan.refusal, {}};
+            }
+            calls += first ? 1 : 0;
+            ++attempts;
+            plan.message.method = request.method;
+            plan.message.target = request.target;
+            plan.message.body = body;
+            const LinkFault fault = link(plan.message);
+            const bool arrives = fault == LinkFault::None || fault == LinkFault::ReplyLost;
+            CallReply reply = arrives ? serve(plan.node.port, plan.message) : CallReply{};
+            const AttemptEnd failed = fault == LinkFault::NotSent ? AttemptEnd::NotSent : AttemptEnd::Broken;
+            const AttemptEnd end = fault == LinkFault::None ? AttemptEnd::Replied : failed;
+            const AttemptVerdict verdict = entry.endAttempt(id, plan.call, end, reply);
+            if (verdict.outcome != VerdictOutcome::Retry) {
+                const bool answered = verdict.outcome == VerdictOutcome::Answer;
+                return {verdict.refusal, answered ? StoredAnswer{reply.status, {}, reply.body} : StoredAnswer{}};
+            }
+        }
+    }
+    CallReply serve(std::size_t index, const CallRequest &call)
+    {
+        const IngressDecision decision = node(index).offer(call);
+        if (decision.outcome == AdmissionOutcome::Refused) {
+            return decision.refusal;
+        }
+        while (!node(index).isAdmitted(decision.ticket)) {
+            if (const auto refusal = node(index).ticketRefusal(decision.ticket)) {
+                return *refusal;
+            }
+            run(std::chrono::milliseconds(5));
+        }
+        const WorkResult result = upstream(index, call, node(index).start(decision.ticket));
+        CallReply reply = node(index).finish(decision.ticket, result.end);
+        reply.body = result.body;
+        return reply;
+    }
+};
+
+} // namespace vanillatack
