--- /dev/null
+++ b/src/daemon/tests/daemon_tests.cpp
@@ -0,0 +1,156 @@
+// Before CppUTest, whose macro for new does not allow the placement new in its headers.
+#include <nlohmann/json.hpp>
+
+#include "daemon/daemon.h"
+#include "standin/upstreaminstance.h"
+#include "statechart/builtincharts.h"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <thread>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *Credential = "0123456789abcdef";
+constexpr const char *Configuration =
+    "[zone z]\nregion = r\n[service desk]\n"
+    "[route read]\nmethod = GET\npath = /read\nservice = desk\nclass = interactive\nopen = yes\n"
+    "[route keyed]\nmethod = GET\npath = /keyed\nservice = desk\nclass = interactive\n"
+    "[workspace w]\nrate = 1000\nburst = 1000\n";
+
+/// Ports that were free a moment ago; all are held until the last is found, so that they differ.
+std::array<std::uint16_t, 6> freePorts()
+{
+    std::array<std::uint16_t, 6> ports{};
+    std::array<int, 6> sockets{};
+    for (std::size_t index = 0; index < ports.size(); ++index) {
+        sockets.at(index) = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        CHECK(::bind(sockets.at(index), reinterpret_cast<const sockaddr *>(&address), size) == 0);
+        CHECK(::getsockname(sockets.at(index), reinterpret_cast<sockaddr *>(&address), &size) == 0);
+        ports.at(index) = ntohs(address.sin_port);
+    }
+    for (const int socket : sockets) {
+        ::close(socket);
+    }
+    return ports;
+}
+
+DaemonSettings settingsFor(const std::array<std::uint16_t, 6> &ports)
+{
+    DaemonSettings settings;
+    settings.name = NodeName("n");
+    settings.zone = ZoneName("z");
+    settings.address = "127.0.0.1";
+    settings.nodePort = ports[0];
+    settings.callerPort = ports[1];
+    settings.localPort = ports[2];
+    settings.adminPort = ports[3];
+    settings.metricsPort = ports[4];
+    settings.fleetSecret = Credential;
+    settings.operatorCredential = Credential;
+    settings.embeddedPlatform = true;
+    settings.drainPeriod = 1ms;
+    return settings;
+}
+
+} // namespace
+
+TEST_GROUP(Daemon)
+{
+    SystemClock clock;
+    std::unique_ptr<IUpstreamClient> client = makeUpstreamClient({});
+
+    HttpResponse send(std::uint16_t port, const HttpRequest &request)
+    {
+        // Far longer than any answer takes: it only ends a test that hangs.
+        const UpstreamAnswer answer = client->send({"127.0.0.1", port}, request, clock.now() + 5min, NoSocket);
+        CHECK(answer.complete);
+        return answer.response;
+    }
+
+    nlohmann::json change(std::uint16_t adminPort, const std::string &target, const nlohmann::json &body)
+    {
+        const HttpRequest request{
+            "POST", target, {{"Authorization", std::string("Bearer ") + Credential}}, body.dump()};
+        const HttpResponse response = send(adminPort, request);
+        LONGS_EQUAL(200, response.status);
+        return nlohmann::json::parse(response.body);
+    }
+
+    /// Asks again until the answer is no longer the given status; an answer that never comes is a hang.
+    HttpResponse waitWhile(int status, std::uint16_t port, const HttpRequest &request)
+    {
+        HttpResponse response = send(port, request);
+        while (response.status == status) {
+            std::this_thread::sleep_for(20ms);
+            response = send(port, request);
+        }
+        return response;
+    }
+};
+
+// Guards against a daemon that serves before it has a configuration, never becomes ready, hands callers' keys to the
+// upstream, or lets a withdrawn key in.
+TEST(Daemon, servesFromTheFirstConfigurationOn)
+{
+    std::signal(SIGPIPE, SIG_IGN); // As in the program's main.
+    const BuiltInCharts charts = loadBuiltInCharts();
+    std::array<std::uint16_t, 6> ports{};
+    std::unique_ptr<IDaemon> daemon;
+    bool started = false;
+    for (int tries = 0; tries < 20 && !started; ++tries) { // Another process can have taken a port.
+        ports = freePorts();
+        daemon = makeDaemon(settingsFor(ports), charts.charts.at("upstream"));
+        started = daemon->start().has_value();
+    }
+    CHECK(started);
+    const auto [nodePort, callerPort, localPort, adminPort, metricsPort, upstreamPort] = ports;
+    const DirectMode direct;
+    OperationLog operations;
+    StandinService service;
+    service.name = "desk";
+    service.workTime = 1ms;
+    UpstreamInstance upstream(
+        {"desk-1", "desk", {"127.0.0.1", upstreamPort}, {"127.0.0.1", localPort}}, service, direct, operations);
+    CHECK(upstream.start().has_value());
+
+    const HttpRequest read{"GET", "/read", {{"Authorization", "Bearer vt_anything"}}, {}};
+    const HttpResponse early = send(callerPort, read);
+    LONGS_EQUAL(503, early.status);
+    const nlohmann::json problem = nlohmann::json::parse(early.body);
+    STRCMP_EQUAL("not-ready", problem.at("kind").get<std::string>().c_str());
+    STRCMP_EQUAL("not-run", problem.at("run").get<std::string>().c_str());
+    LONGS_EQUAL(503, send(localPort, {"GET", "/readyz", {}, {}}).status);
+    LONGS_EQUAL(200, send(localPort, {"GET", "/healthz", {}, {}}).status);
+
+    change(adminPort, "/v1/config", {{"baseVersion", 0}, {"text", Configuration}, {"author", "a"}, {"note", "n"}});
+    const nlohmann::json grant = change(adminPort, "/v1/keys", {{"workspace", "w"}, {"author", "a"}, {"note", "n"}});
+    LONGS_EQUAL(200, waitWhile(503, localPort, {"GET", "/readyz", {}, {}}).status);
+    LONGS_EQUAL(200, waitWhile(503, callerPort, read).status);
+    LONGS_EQUAL(404, send(callerPort, {"GET", "/nowhere", {}, {}}).status);
+    HttpRequest keyed{"GET", "/keyed", {}, {}};
+    LONGS_EQUAL(401, send(callerPort, keyed).status);
+    keyed.headers = {{"Authorization", "Bearer " + grant.at("key").get<std::string>()}};
+    // This node has no quota share, so a key that is accepted meets the rate next.
+    LONGS_EQUAL(429, send(callerPort, keyed).status);
+    change(adminPort, "/v1/keys/withdraw", {{"id", grant.at("id")}, {"author", "a"}});
+    LONGS_EQUAL(401, send(callerPort, keyed).status);
+
+    const nlohmann::json stats = nlohmann::json::parse(send(upstreamPort, {"GET", "/control/stats", {}, {}}).body);
+    CHECK(stats.at("served").get<int>() > 0);
+    LONGS_EQUAL(0, stats.at("keys_seen").get<int>());
+    daemon->shutDown();
+    upstream.stop();
+}
