Set the gauges that the metrics page names

Cause: five gauges of docs/metrics.md were never set; a grace time for keys below 30 s refuses keys in a calm fleet of one zone, as a node test found. Change: processor time of the decision thread, memory, connections and the cut-off state are reported once a second; cutoff_key_grace is at least 60 s.

--- a/src/config/internal/configreader.cpp
+++ b/src/config/internal/configreader.cpp
@@ -272,7 +272,8 @@
     reader.readDuration("deferrable_queue_timeout", defaults.deferrableQueueTimeout, milliseconds(1), minutes(10));
     reader.readDuration("aging_limit", defaults.agingLimit, milliseconds(100), minutes(10));
     reader.readInteger("background_percent", defaults.backgroundPercent, 0, 100);
-    reader.readDuration("cutoff_key_grace", defaults.cutoffKeyGrace, seconds(5), hours(24));
+    // Most nodes hear from the platform only every 30 s; a shorter grace would refuse keys while nothing is wrong.
+    reader.readDuration("cutoff_key_grace", defaults.cutoffKeyGrace, seconds(60), hours(24));
     reader.readDuration("claim_retention", defaults.claimRetention, minutes(1), hours(24 * 30));
     reader.readDuration("withdrawal_retention", defaults.withdrawalRetention, hours(1), hours(24 * 90));
     reader.readInteger("shares_per_zone", defaults.sharesPerZone, 1, 64);
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -13,6 +13,9 @@
 #include "transport/httpedge.h"
 #include "transport/nodelink.h"
 
+#include <unistd.h>
+
+#include <fstream>
 #include <thread>
 
 namespace vanillatack {
@@ -86,6 +89,16 @@
     return {settings.name, settings.zone, {settings.address, settings.nodePort}, settings.shareSlot, settings.seeds};
 }
 
+/// 0 when the kernel does not tell.
+double residentMemoryBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
 class Daemon final : public IDaemon
 {
 public:
@@ -133,7 +146,9 @@
         BOOST_OUTCOME_TRY(m_localEdge->start());
         BOOST_OUTCOME_TRY(m_callerEdge->start());
         BOOST_OUTCOME_TRY(m_adminServer.start({m_settings.address, m_settings.adminPort}));
-        m_decisions.start(*m_node);
+        m_decisions.start(*m_node, [this](double controlLoad) {
+            updateGauges(controlLoad);
+        });
         m_running = true;
         DaemonLog.info("The node runs.",
                        {{"node", m_settings.name.value},
@@ -161,6 +176,15 @@
     }
 
 private:
+    void updateGauges(double controlLoad)
+    {
+        IMetrics &metrics = m_metrics.metrics();
+        metrics.setGauge("control_cpu_ratio", controlLoad);
+        metrics.setGauge("resident_memory_bytes", residentMemoryBytes());
+        metrics.setGauge("open_caller_connections", static_cast<double>(m_callerEdge->connections()));
+        metrics.setGauge("open_node_connections", static_cast<double>(m_link->connections()));
+    }
+
     std::size_t requestsInProgress()
     {
         const auto lock = m_lock.acquire();
--- a/src/daemon/internal/decisionthread.cpp
+++ b/src/daemon/internal/decisionthread.cpp
@@ -1,12 +1,21 @@
 #include "daemon/internal/decisionthread.h"
 
 #include <algorithm>
+#include <ctime>
 
 namespace vanillatack {
 
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{10};
+constexpr std::chrono::seconds ReportInterval{1};
+
+Duration threadProcessorTime()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
 
 } // namespace
 
@@ -21,9 +30,11 @@
     stop();
 }
 
-void DecisionThread::start(INode &node)
+void DecisionThread::start(INode &node, std::function<void(double)> everySecond)
 {
     m_node = &node;
+    m_everySecond = std::move(everySecond);
+    m_nextReport = m_clock.now() + ReportInterval;
     m_thread = std::thread([this] {
         work();
     });
@@ -69,6 +80,19 @@
     return due;
 }
 
+void DecisionThread::reportLoad()
+{
+    const TimePoint now = m_clock.now();
+    if (now < m_nextReport) {
+        return;
+    }
+    const Duration elapsed = now - m_nextReport + ReportInterval;
+    const Duration used = threadProcessorTime();
+    m_everySecond(std::chrono::duration<double>(used - m_reportedTime) / std::chrono::duration<double>(elapsed));
+    m_reportedTime = used;
+    m_nextReport = now + ReportInterval;
+}
+
 void DecisionThread::work()
 {
     std::unique_lock lock(m_mutex);
@@ -84,6 +108,7 @@
             if (m_clock.now() >= nextTick) {
                 m_node->tick();
                 nextTick = m_clock.now() + TickInterval;
+                reportLoad();
             }
         }
         lock.lock();
--- a/src/daemon/internal/decisionthread.h
+++ b/src/daemon/internal/decisionthread.h
@@ -16,7 +16,8 @@
     DecisionThread(IClock &clock, NodeLock &lock);
     ~DecisionThread() override;
 
-    void start(INode &node);
+    /// everySecond is called under the node's lock with the part of a core that this thread has used.
+    void start(INode &node, std::function<void(double)> everySecond);
     void stop();
 
     void post(std::function<void()> task) override;
@@ -33,7 +34,12 @@
 
     IClock &m_clock;
     NodeLock &m_lock;
+    void reportLoad();
+
     INode *m_node = nullptr;
+    std::function<void(double)> m_everySecond;
+    TimePoint m_nextReport;
+    Duration m_reportedTime{0};
     std::mutex m_mutex;
     std::condition_variable m_wake;
     std::vector<Task> m_tasks;
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -18,6 +18,7 @@
 constexpr Log NodeLog("node");
 constexpr std::chrono::milliseconds MinorTickInterval{50};
 constexpr std::chrono::seconds GaugeInterval{1};
+constexpr std::chrono::seconds LongestPlatformInterval{35}; ///< Nodes that are not readers poll every 30 s.
 
 RoutingSettings routingSettings(const SelfDescription &self)
 {
@@ -579,6 +580,8 @@
     metrics.setGauge("reachable_zones", static_cast<double>(reachable));
     const Duration silence = m_documents->sincePlatform().value_or(m_environment.clock.now() - m_startedAt);
     metrics.setGauge("platform_silence_seconds", std::chrono::duration<double>(silence).count());
+    const bool alone = m_config.zones.size() > 1 && reachable <= 1 && silence > LongestPlatformInterval;
+    metrics.setGauge("zone_cut_off", alone ? 1 : 0);
     metrics.setGauge("draining", isDraining() ? 1 : 0);
     metrics.setGauge("keys_accepted", isCutOff() ? 0 : 1);
     std::string reason;
--- a/src/transport/internal/nodelink.cpp
+++ b/src/transport/internal/nodelink.cpp
@@ -90,6 +90,11 @@
         m_controlThreads.stop();
     }
 
+    [[nodiscard]] std::size_t connections() const override
+    {
+        return m_serverThreads.active();
+    }
+
     CallAttempt call(const Endpoint &node, const CallRequest &request, TimePoint deadline, int cancelSocket) override
     {
         std::unique_ptr<FrameConnection> connection = take(node);
--- a/src/transport/nodelink.h
+++ b/src/transport/nodelink.h
@@ -59,6 +59,9 @@
     /// Refuses new connections, lets running calls finish, and joins all threads.
     virtual void stop() = 0;
 
+    /// Connections opened by other nodes.
+    [[nodiscard]] virtual std::size_t connections() const = 0;
+
     /// Calls the node and waits for the reply, until the deadline or until the peer of cancelSocket hangs up.
     virtual CallAttempt
     call(const Endpoint &node, const CallRequest &request, TimePoint deadline, int cancelSocket) = 0;
