Close the ports of a daemon that fails to start

Cause: IDaemon::start() promises that nothing keeps running when a port cannot be bound, but the ports opened before it went on taking connections. The threads of the link also call the node, which is destroyed before it.

Change: start() closes the other ports when one fails, and opens the metrics port last, since that stays open until its object ends. The test takes each of the five ports in turn. Daemon tests use an address of the loopback network of their own, so that ports stay free between two uses.

Conclusion: a failed start leaves no port that takes connections.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -128,11 +128,15 @@
 
     Result<void> start() override
     {
-        BOOST_OUTCOME_TRY(m_metrics.startServer({m_settings.address, m_settings.metricsPort}));
-        BOOST_OUTCOME_TRY(m_link->start());
-        BOOST_OUTCOME_TRY(m_localEdge->start());
-        BOOST_OUTCOME_TRY(m_callerEdge->start());
-        BOOST_OUTCOME_TRY(m_adminServer.start({m_settings.address, m_settings.adminPort}));
+        Result<void> opened = openPorts();
+        if (!opened) {
+            // Their threads call the node, which is destroyed before the link.
+            m_callerEdge->stop();
+            m_adminServer.stop();
+            m_link->stop();
+            m_localEdge->stop();
+            return opened;
+        }
         m_decisions.start(*m_node);
         m_running = true;
         DaemonLog.info("The node runs.",
@@ -161,6 +165,17 @@
     }
 
 private:
+    Result<void> openPorts()
+    {
+        BOOST_OUTCOME_TRY(m_link->start());
+        BOOST_OUTCOME_TRY(m_localEdge->start());
+        BOOST_OUTCOME_TRY(m_callerEdge->start());
+        BOOST_OUTCOME_TRY(m_adminServer.start({m_settings.address, m_settings.adminPort}));
+        // Last, since the metrics port stays open until the end of the object.
+        BOOST_OUTCOME_TRY(m_metrics.startServer({m_settings.address, m_settings.metricsPort}));
+        return success();
+    }
+
     std::size_t requestsInProgress()
     {
         const auto lock = m_lock.acquire();
--- a/src/daemon/tests/daemon_tests.cpp
+++ b/src/daemon/tests/daemon_tests.cpp
@@ -26,20 +26,34 @@
     "[route keyed]\nmethod = GET\npath = /keyed\nservice = desk\nclass = interactive\n"
     "[workspace w]\nrate = 1000\nburst = 1000\n";
 
+// An address of the loopback network that other programs hardly use, so that ports stay free.
+constexpr const char *Address = "127.39.17.5";
+
+/// A socket bound to the port, 0 for a free one; -1 when the port is taken.
+int bindPort(std::uint16_t &port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    socklen_t size = sizeof(address);
+    CHECK(::inet_pton(AF_INET, Address, &address.sin_addr) == 1);
+    if (::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size) != 0) {
+        ::close(descriptor);
+        return -1;
+    }
+    CHECK(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size) == 0);
+    port = ntohs(address.sin_port);
+    return descriptor;
+}
+
 /// Ports that were free a moment ago; all are held until the last is found, so that they differ.
 std::array<std::uint16_t, 6> freePorts()
 {
     std::array<std::uint16_t, 6> ports{};
     std::array<int, 6> sockets{};
     for (std::size_t index = 0; index < ports.size(); ++index) {
-        sockets.at(index) = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        CHECK(::bind(sockets.at(index), reinterpret_cast<const sockaddr *>(&address), size) == 0);
-        CHECK(::getsockname(sockets.at(index), reinterpret_cast<sockaddr *>(&address), &size) == 0);
-        ports.at(index) = ntohs(address.sin_port);
+        sockets.at(index) = bindPort(ports.at(index));
     }
     for (const int socket : sockets) {
         ::close(socket);
@@ -52,7 +66,8 @@
     DaemonSettings settings;
     settings.name = NodeName("n");
     settings.zone = ZoneName("z");
-    settings.address = "127.0.0.1";
+    settings.address = Address;
+    settings.localAddress = Address;
     settings.nodePort = ports[0];
     settings.callerPort = ports[1];
     settings.localPort = ports[2];
@@ -75,7 +90,7 @@
     HttpResponse send(std::uint16_t port, const HttpRequest &request)
     {
         // Far longer than any answer takes: it only ends a test that hangs.
-        const UpstreamAnswer answer = client->send({"127.0.0.1", port}, request, clock.now() + 5min, NoSocket);
+        const UpstreamAnswer answer = client->send({Address, port}, request, clock.now() + 5min, NoSocket);
         CHECK(answer.complete);
         return answer.response;
     }
@@ -123,7 +138,7 @@
     service.name = "desk";
     service.workTime = 1ms;
     UpstreamInstance upstream(
-        {"desk-1", "desk", {"127.0.0.1", upstreamPort}, {"127.0.0.1", localPort}}, service, direct, operations);
+        {"desk-1", "desk", {Address, upstreamPort}, {Address, localPort}}, service, direct, operations);
     CHECK(upstream.start().has_value());
 
     const HttpRequest read{"GET", "/read", {{"Authorization", "Bearer vt_anything"}}, {}};
@@ -154,3 +169,27 @@
     daemon->shutDown();
     upstream.stop();
 }
+
+// Guards against a daemon that failed to start and still takes connections at some of its ports.
+TEST(Daemon, closesItsPortsWhenOneIsTaken)
+{
+    const BuiltInCharts charts = loadBuiltInCharts();
+    for (std::size_t takenPort = 0; takenPort < 5; ++takenPort) {
+        std::array<std::uint16_t, 6> ports = freePorts();
+        const int taken = bindPort(ports.at(takenPort));
+        CHECK(taken >= 0 && ::listen(taken, 1) == 0);
+        auto daemon = makeDaemon(settingsFor(ports), charts.charts.at("upstream"));
+        const Result<void> started = daemon->start();
+        CHECK(!started && started.error().kind == ErrorKind::Unavailable);
+        ::close(taken);
+        for (const std::uint16_t port : ports) {
+            CHECK(!connectTcp({Address, port}, 5min));
+        }
+        daemon.reset();
+        for (std::uint16_t port : ports) {
+            const int descriptor = bindPort(port);
+            CHECK(descriptor >= 0);
+            ::close(descriptor);
+        }
+    }
+}
