--- a/src/model/ids.h
+++ b/src/model/ids.h
@@ -77,7 +77,7 @@
         return address + ":" + std::to_string(port);
     }
 
-    auto operator<=>(const Endpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default; // NOLINT(modernize-use-nullptr): as above
 
     template<class H>
     friend H AbslHashValue(H state, const Endpoint &endpoint)
--- a/src/node/internal/burnarchive.cpp
+++ b/src/node/internal/burnarchive.cpp
@@ -16,7 +16,7 @@
 constexpr std::int64_t MinutesPerHour = 60;
 constexpr std::int64_t FoldAfterMinutes = 10; ///< Repeats of a message arrive well before.
 constexpr std::int64_t KeptMinutes = 2 * MinutesPerHour; ///< In the collector's memory.
-constexpr std::int64_t RetentionHours = 30 * 24;
+constexpr std::int64_t RetentionHours = std::int64_t{30} * 24;
 constexpr std::int64_t FreshMinutes = 3; ///< A zone whose collector has not written for longer counts as missing.
 constexpr std::chrono::seconds PushInterval{15};
 constexpr std::size_t RowsPerScan = 100;
--- a/src/tool/internal/adminclient.cpp
+++ b/src/tool/internal/adminclient.cpp
@@ -63,7 +63,7 @@
         || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port < 1 || port > 65535) {
         return makeError(ErrorKind::InvalidArgument,
                          "\"" + text + "\" is not the address of a node.",
-                         "Use ADDRESS:PORT with an IPv4 address, such as 10.0.0.7:7702.");
+                         "Use ADDRESS:PORT with an IPv4 address, such as 10.0.0.7:7482.");
     }
     return Endpoint{address, static_cast<std::uint16_t>(port)};
 }
--- a/src/tool/internal/nodecommands.cpp
+++ b/src/tool/internal/nodecommands.cpp
@@ -128,7 +128,7 @@
     CLI::App *command = app.add_subcommand(name, help);
     command->add_option("name", options->node, "Name of the node, as a check of the address")->required();
     command->add_option("--note", options->note, "Why");
-    command->footer("Example:\n  vanillatack --node 10.0.0.7:7702 " + name + " a-certdesk-2 --note \"kernel update\"");
+    command->footer("Example:\n  vanillatack --node 10.0.0.7:7482 " + name + " a-certdesk-2 --note \"kernel update\"");
     command->callback([&context, options, name] {
         context.command = [&context, options, name] {
             return changeDrain(context, *options, "/v1/" + name);
@@ -159,7 +159,7 @@
     addDrainCommand(app, context, options, "undrain", "Let a drained node take work again");
 
     CLI::App *status = app.add_subcommand("status", "Show the state of each given node");
-    status->footer("Example:\n  vanillatack --node 10.0.0.7:7702 status");
+    status->footer("Example:\n  vanillatack --node 10.0.0.7:7482 status");
     status->callback([&context] {
         context.command = [&context] {
             return showStatus(context);
--- a/src/tool/internal/tool.cpp
+++ b/src/tool/internal/tool.cpp
@@ -27,7 +27,7 @@
   VANILLATACK_NODES       admin ports of nodes, separated by commas, when --node is not given
 
 Example:
-  vanillatack --node 10.0.0.7:7702 --node 10.0.1.7:7702 fleet)";
+  vanillatack --node 10.0.0.7:7482 --node 10.0.1.7:7482 fleet)";
 
 void addCommonOptions(CLI::App &app, ToolContext &context)
 {
--- a/src/transport/httpedge.h
+++ b/src/transport/httpedge.h
@@ -10,8 +10,8 @@
 struct HttpEdgeSettings {
     Endpoint listen;
     std::size_t maxConnections = 2000;
-    std::size_t maxHeadBytes = 32 * 1024; ///< Request line and headers; more is answered with 431.
-    std::size_t maxBodyBytes = 1024 * 1024; ///< More is answered with 413.
+    std::size_t maxHeadBytes = std::size_t{32} << 10; ///< Request line and headers; more is answered with 431.
+    std::size_t maxBodyBytes = std::size_t{1} << 20; ///< More is answered with 413.
     Duration idleTimeout = std::chrono::seconds(60); ///< Between two requests of a connection.
     Duration messageTimeout = std::chrono::seconds(10); ///< To receive one request or send one response.
 };
--- a/src/transport/internal/bufferedstream.cpp
+++ b/src/transport/internal/bufferedstream.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::size_t ReadChunkBytes = 16 * 1024;
-constexpr std::size_t FlushThresholdBytes = 256 * 1024;
+constexpr std::size_t ReadChunkBytes = std::size_t{16} << 10;
+constexpr std::size_t FlushThresholdBytes = std::size_t{256} << 10;
 
 using NameFunction = int (*)(int, sockaddr *, socklen_t *);
 
