Search for the burn collector only when figures are due

Cause: the node copied its member table every 50 ms to find the collector of its zone, which is needed every 15 s. Change: the search is made only when the archive has work to do. Behavior is unchanged.

--- a/src/node/internal/burnarchive.cpp
+++ b/src/node/internal/burnarchive.cpp
@@ -80,9 +80,14 @@
     return std::chrono::duration_cast<std::chrono::minutes>(wallTime).count();
 }
 
+bool BurnArchive::isDue() const
+{
+    return m_parts.clock.now() >= m_nextPush;
+}
+
 void BurnArchive::tick(const Member &collector)
 {
-    if (m_parts.clock.now() < m_nextPush) {
+    if (!isDue()) {
         return;
     }
     m_nextPush = m_parts.clock.now() + PushInterval;
--- a/src/node/internal/burnarchive.h
+++ b/src/node/internal/burnarchive.h
@@ -26,6 +26,8 @@
 public:
     explicit BurnArchive(const BurnArchiveParts &parts);
 
+    /// Whether tick() has work to do; spares the search for the collector otherwise.
+    [[nodiscard]] bool isDue() const;
     void tick(const Member &collector);
     void receive(const BurnPush &message);
 
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -124,7 +124,9 @@
         m_membership->tick();
         m_documents->tick();
         m_quota->tick();
-        m_burnArchive.tick(zoneCollector());
+        if (m_burnArchive.isDue()) {
+            m_burnArchive.tick(zoneCollector());
+        }
     }
     if (now >= m_nextSecond) {
         m_nextSecond = now + GaugeInterval;
