--- a/src/attempts/attemptssetup.cpp
+++ b/src/attempts/attemptssetup.cpp
@@ -10,9 +10,9 @@
     return std::make_unique<AttemptLedger>();
 }
 
-std::unique_ptr<IRetryBudget> makeRetryBudget(const IClock &clock)
+std::unique_ptr<IRetryBudget> makeRetryBudget(const IClock &clock, int freeRetries)
 {
-    return std::make_unique<RetryBudget>(clock);
+    return std::make_unique<RetryBudget>(clock, freeRetries);
 }
 
 } // namespace vanillatack
--- a/src/attempts/internal/retrybudget.cpp
+++ b/src/attempts/internal/retrybudget.cpp
@@ -4,8 +4,9 @@
 
 namespace vanillatack {
 
-RetryBudget::RetryBudget(const IClock &clock)
+RetryBudget::RetryBudget(const IClock &clock, int freeRetries)
     : m_clock(clock)
+    , m_freeRetries(freeRetries)
 {
 }
 
@@ -33,8 +34,7 @@
             firstAttempts += bucket.firstAttempts;
         }
     }
-    const std::int64_t allowedHundredths =
-        firstAttempts * m_ratioPercent + 100LL * FreeRetriesPerSecond * WindowSeconds;
+    const std::int64_t allowedHundredths = firstAttempts * m_ratioPercent + 100LL * m_freeRetries;
     if ((retries + 1) * 100 > allowedHundredths) {
         return false;
     }
--- a/src/attempts/internal/retrybudget.h
+++ b/src/attempts/internal/retrybudget.h
@@ -11,11 +11,11 @@
 namespace vanillatack {
 
 /// Counts attempts per service in buckets of one second. In any 10 s, retries are at most the ratio of the first
-/// attempts in these 10 s, plus 10.
+/// attempts in these 10 s, plus the free ones.
 class RetryBudget final : public IRetryBudget
 {
 public:
-    explicit RetryBudget(const IClock &clock);
+    RetryBudget(const IClock &clock, int freeRetries);
 
     void recordFirstAttempt(const ServiceName &service) override;
     bool tryRetry(const ServiceName &service) override;
@@ -23,7 +23,6 @@
 
 private:
     static constexpr int WindowSeconds = 10;
-    static constexpr int FreeRetriesPerSecond = 1;
     /// One more than the window, since the bucket of the current second is incomplete.
     static constexpr int BucketCount = WindowSeconds + 1;
 
@@ -38,6 +37,7 @@
     static Bucket &bucketAt(Buckets &buckets, std::int64_t second);
 
     const IClock &m_clock;
+    int m_freeRetries;
     int m_ratioPercent = 10;
     absl::flat_hash_map<ServiceName, Buckets> m_services;
 };
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace vanillatack {
 
 namespace {
@@ -15,6 +17,14 @@
     return std::chrono::steady_clock::now();
 }
 
+Duration SystemClock::elapsed() const
+{
+    timespec time{};
+    // Fails only for a clock that the kernel does not know; CLOCK_BOOTTIME is older than all that we run on.
+    (void)clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 WallTime SystemClock::wallNow() const
 {
     return std::chrono::system_clock::now();
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -17,6 +17,12 @@
     /// Monotonic time; the origin is arbitrary.
     [[nodiscard]] virtual TimePoint now() const = 0;
 
+    /// Monotonic time that also counts while the VM is suspended, unlike now(). For whatever must lapse.
+    [[nodiscard]] virtual Duration elapsed() const
+    {
+        return now().time_since_epoch();
+    }
+
     /// Calendar time, for logs, records and reports only.
     [[nodiscard]] virtual WallTime wallNow() const = 0;
 };
@@ -26,6 +32,7 @@
 {
 public:
     [[nodiscard]] TimePoint now() const override;
+    [[nodiscard]] Duration elapsed() const override;
     [[nodiscard]] WallTime wallNow() const override;
 };
 
--- a/src/daemon/internal/egressshell.h
+++ b/src/daemon/internal/egressshell.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/internal/nodelock.h"
-#include "transport/http.h"
+#include "http/http.h"
 #include "transport/nodelink.h"
 
 #include <optional>
--- a/src/daemon/internal/problem.h
+++ b/src/daemon/internal/problem.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "http/http.h"
 #include "node/inode.h"
-#include "transport/http.h"
 
 namespace vanillatack {
 
--- /dev/null
+++ b/src/entrance/entranceplan.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "model/messages.h"
+
+#include <map>
+#include <vector>
+
+namespace vanillatack {
+
+/// A route by which requests of callers enter.
+struct EntranceRoute {
+    RouteName route;
+    int rank = 0; ///< 0 is shed last.
+    double offeredPerSecond = 0; ///< Over the whole fleet.
+    std::map<ServiceName, double> slotSeconds; ///< What one request needs at each service, with all that it calls.
+};
+
+/// What a request of each route needs of each service.
+class RequestCost
+{
+public:
+    /// Adds what nodes have reported. shares: the services of a route with their part of its requests.
+    void setRoute(const RouteName &route, const std::map<ServiceName, double> &shares);
+    void addReport(const NodeReport &report);
+
+    /// Slot seconds of one request at each service, calls of calls included.
+    [[nodiscard]] std::map<ServiceName, double> slotSeconds(const RouteName &route) const;
+
+private:
+    struct Mean {
+        double sum = 0;
+        int count = 0;
+        [[nodiscard]] double value() const
+        {
+            return count == 0 ? 0 : sum / count;
+        }
+    };
+    using ServiceRoute = std::pair<ServiceName, RouteName>;
+
+    void add(const RouteName &route, double requests, int depth, std::map<ServiceName, double> &cost) const;
+
+    std::map<RouteName, std::map<ServiceName, double>> m_shares;
+    std::map<ServiceRoute, Mean> m_work;
+    std::map<ServiceRoute, std::map<RouteName, Mean>> m_calls;
+};
+
+struct EntrancePlanSettings {
+    double usableShare = 0.9; ///< Of a service's slots; the rest absorbs bursts and uneven instances.
+    double leastShare =
+        0.2; ///< Of each route's requests, so that no kind of request starves behind more important ones.
+};
+
+/// The share of each route's requests to admit, so that what is admitted can be finished by the deepest service that
+/// it needs. More important routes come first; among equals the one that needs least of the scarce service.
+std::map<RouteName, double> planEntrance(const std::vector<EntranceRoute> &routes,
+                                         const std::map<ServiceName, double> &slots,
+                                         const EntrancePlanSettings &settings);
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/entrance/internal/entranceplan.cpp
@@ -0,0 +1,137 @@
+#include "entrance/entranceplan.h"
+
+#include "model/request.h"
+
+#include <algorithm>
+
+namespace vanillatack {
+
+void RequestCost::setRoute(const RouteName &route, const std::map<ServiceName, double> &shares)
+{
+    m_shares[route] = shares;
+}
+
+void RequestCost::addReport(const NodeReport &report)
+{
+    for (const RouteLoad &load : report.loads) {
+        if (load.workSeconds > 0) {
+            Mean &mean = m_work[{report.service, load.route}];
+            mean.sum += load.workSeconds;
+            ++mean.count;
+        }
+    }
+    for (const CallEdge &edge : report.edges) {
+        Mean &mean = m_calls[{report.service, edge.caller}][edge.callee];
+        mean.sum += edge.callsPerRequest;
+        ++mean.count;
+    }
+}
+
+std::map<ServiceName, double> RequestCost::slotSeconds(const RouteName &route) const
+{
+    std::map<ServiceName, double> cost;
+    add(route, 1.0, 0, cost);
+    return cost;
+}
+
+void RequestCost::add(const RouteName &route, double requests, int depth, std::map<ServiceName, double> &cost) const
+{
+    const auto shares = m_shares.find(route);
+    if (shares == m_shares.end() || depth > MaxCallDepth) {
+        return;
+    }
+    for (const auto &[service, share] : shares->second) {
+        const ServiceRoute key{service, route};
+        const auto work = m_work.find(key);
+        if (work != m_work.end()) {
+            cost[service] += requests * share * work->second.value();
+        }
+        const auto calls = m_calls.find(key);
+        if (calls == m_calls.end()) {
+            continue;
+        }
+        for (const auto &[callee, mean] : calls->second) {
+            add(callee, requests * share * mean.value(), depth + 1, cost);
+        }
+    }
+}
+
+namespace {
+
+/// Slots that are left of each service.
+class Room
+{
+public:
+    Room(const std::map<ServiceName, double> &slots, double usableShare)
+    {
+        for (const auto &[service, count] : slots) {
+            m_total[service] = count * usableShare;
+            m_left[service] = count * usableShare;
+        }
+    }
+
+    /// The part of the wanted share of the route's requests that fits, and takes the room for it.
+    double take(const EntranceRoute &route, double wanted)
+    {
+        double share = wanted;
+        for (const auto &[service, left] : m_left) {
+            const double need = needed(route, service);
+            if (need > 0) {
+                share = std::min(share, std::max(left, 0.0) / need);
+            }
+        }
+        for (auto &[service, left] : m_left) {
+            left -= share * needed(route, service);
+        }
+        return share;
+    }
+
+    /// What one request takes of the service of which it takes most.
+    [[nodiscard]] double scarcity(const EntranceRoute &route) const
+    {
+        double most = 0;
+        for (const auto &[service, cost] : route.slotSeconds) {
+            const auto total = m_total.find(service);
+            if (total != m_total.end() && total->second > 0) {
+                most = std::max(most, cost / total->second);
+            }
+        }
+        return most;
+    }
+
+private:
+    static double needed(const EntranceRoute &route, const ServiceName &service)
+    {
+        const auto cost = route.slotSeconds.find(service);
+        return cost == route.slotSeconds.end() ? 0 : cost->second * route.offeredPerSecond;
+    }
+
+    std::map<ServiceName, double> m_total;
+    std::map<ServiceName, double> m_left;
+};
+
+} // namespace
+
+std::map<RouteName, double> planEntrance(const std::vector<EntranceRoute> &routes,
+                                         const std::map<ServiceName, double> &slots,
+                                         const EntrancePlanSettings &settings)
+{
+    Room room(slots, settings.usableShare);
+    std::vector<const EntranceRoute *> order;
+    order.reserve(routes.size());
+    for (const EntranceRoute &route : routes) {
+        order.push_back(&route);
+    }
+    std::sort(order.begin(), order.end(), [&room](const EntranceRoute *a, const EntranceRoute *b) {
+        return std::pair(a->rank, room.scarcity(*a)) < std::pair(b->rank, room.scarcity(*b));
+    });
+    std::map<RouteName, double> shares;
+    for (const double part : {settings.leastShare, 1.0 - settings.leastShare}) {
+        for (const EntranceRoute *route : order) {
+            shares[route->route] += room.take(*route, part);
+        }
+    }
+    return shares;
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/fleet/internal/nodedirectory.cpp
@@ -0,0 +1,159 @@
+#include "fleet/nodedirectory.h"
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+/// Load above which requests also go to other zones. Below it, work stays where bytes are cheap and links short.
+constexpr double LocalLoadLimit = 0.7;
+/// A report older than this says nothing about the load any more; reports come several times a second.
+constexpr Duration ReportLifetime = std::chrono::seconds(2);
+/// Weight of the newest outcome in the share of failures; about the last 10 calls count.
+constexpr double FailureWeight = 0.1;
+/// Load that a share of failures of 1 counts as. An instance that fails half its requests is used only when the
+/// others are full.
+constexpr double FailureLoad = 2.0;
+/// How long a node is avoided after its connection failed; its registry entry or instance may have changed by then.
+constexpr Duration UnreachablePause = std::chrono::milliseconds(700);
+
+} // namespace
+
+NodeDirectory::NodeDirectory(ZoneName ownZone)
+    : m_ownZone(std::move(ownZone))
+{
+}
+
+void NodeDirectory::update(const NodeEntry &entry)
+{
+    Known &known = m_nodes[entry.node];
+    if (entry.nodeStartedAtMs < known.entry.nodeStartedAtMs) {
+        return;
+    }
+    if (known.entry.instance != entry.instance || known.entry.peer != entry.peer
+        || (entry.accepting && !known.entry.accepting)) {
+        known.failures = 0;
+        known.avoidUntil = {};
+    }
+    known.entry = entry;
+}
+
+void NodeDirectory::remove(const NodeName &node)
+{
+    m_nodes.erase(node);
+}
+
+void NodeDirectory::recordReport(const NodeReport &report, TimePoint now)
+{
+    const auto entry = m_nodes.find(report.node);
+    if (entry == m_nodes.end()) {
+        return;
+    }
+    Known &known = entry->second;
+    const auto order = [](const NodeReport &item) {
+        return std::pair(item.startedAtMs, item.sequence);
+    };
+    if (order(report) <= order(known.report)) {
+        return;
+    }
+    known.report = report;
+    known.reportedAt = now;
+    known.sentSinceReport = 0;
+}
+
+double NodeDirectory::load(const Known &known, TimePoint now) const
+{
+    const int slots = std::max(known.entry.slots, 1);
+    const bool reported = known.reportedAt != TimePoint{} && now - known.reportedAt < ReportLifetime;
+    const int busy = reported ? known.report.running + known.report.queued + known.sentSinceReport : known.inFlight;
+    return static_cast<double>(std::max(busy, known.inFlight)) / slots + FailureLoad * known.failures;
+}
+
+std::optional<NodeEntry>
+NodeDirectory::choose(const ServiceName &service, const std::set<NodeName> &excluded, IRandom &random, TimePoint now)
+{
+    std::vector<Known *> local;
+    std::vector<Known *> all;
+    std::vector<Known *> avoided;
+    for (auto &[name, known] : m_nodes) {
+        if (known.entry.service != service || !known.entry.accepting || excluded.contains(name)) {
+            continue;
+        }
+        if (known.avoidUntil > now) {
+            avoided.push_back(&known);
+            continue;
+        }
+        all.push_back(&known);
+        if (known.entry.zone == m_ownZone && load(known, now) < LocalLoadLimit) {
+            local.push_back(&known);
+        }
+    }
+    std::vector<Known *> &candidates = !local.empty() ? local : !all.empty() ? all : avoided;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    // The better of two random ones: many nodes that choose by the same reports do not all choose the same instance.
+    Known *best = candidates[random.below(candidates.size())];
+    Known *other = candidates[random.below(candidates.size())];
+    if (load(*other, now) < load(*best, now)) {
+        best = other;
+    }
+    ++best->inFlight;
+    ++best->sentSinceReport;
+    return best->entry;
+}
+
+void NodeDirectory::finish(const NodeName &node, NodeOutcome outcome, TimePoint now)
+{
+    const auto entry = m_nodes.find(node);
+    if (entry == m_nodes.end()) {
+        return;
+    }
+    Known &known = entry->second;
+    known.inFlight = std::max(known.inFlight - 1, 0);
+    const double failed = outcome == NodeOutcome::Served ? 0 : 1;
+    known.failures += FailureWeight * (failed - known.failures);
+    if (outcome == NodeOutcome::Unreachable) {
+        known.avoidUntil = now + UnreachablePause;
+    }
+}
+
+std::vector<NodeEntry> NodeDirectory::nodes() const
+{
+    std::vector<NodeEntry> entries;
+    for (const auto &[name, known] : m_nodes) {
+        entries.push_back(known.entry);
+    }
+    return entries;
+}
+
+const NodeEntry *NodeDirectory::find(const NodeName &node) const
+{
+    const auto entry = m_nodes.find(node);
+    return entry == m_nodes.end() ? nullptr : &entry->second.entry;
+}
+
+std::map<ServiceName, int> NodeDirectory::slots() const
+{
+    std::map<ServiceName, int> sums;
+    for (const auto &[name, known] : m_nodes) {
+        if (known.entry.accepting) {
+            sums[known.entry.service] += known.entry.slots;
+        }
+    }
+    return sums;
+}
+
+std::vector<NodeReport> NodeDirectory::reports(Duration maxAge, TimePoint now) const
+{
+    std::vector<NodeReport> recent;
+    for (const auto &[name, known] : m_nodes) {
+        if (known.reportedAt != TimePoint{} && now - known.reportedAt <= maxAge) {
+            recent.push_back(known.report);
+        }
+    }
+    return recent;
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/fleet/internal/nodeentrycodec.cpp
@@ -0,0 +1,45 @@
+#include "fleet/nodeentrycodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillatack {
+
+std::string formatNodeEntry(const NodeEntry &entry)
+{
+    return nlohmann::json{
+        {"node", entry.node.value},
+        {"zone", entry.zone.value},
+        {"address", entry.peer.address},
+        {"port", entry.peer.port},
+        {"service", entry.service.value},
+        {"started_at_ms", entry.nodeStartedAtMs},
+        {"instance", entry.instance},
+        {"slots", entry.slots},
+        {"accepting", entry.accepting},
+    }
+        .dump();
+}
+
+Result<NodeEntry> parseNodeEntry(const std::string &text)
+{
+    try {
+        const auto json = nlohmann::json::parse(text);
+        NodeEntry entry;
+        entry.node.value = json.at("node").get<std::string>();
+        entry.zone.value = json.at("zone").get<std::string>();
+        entry.peer.address = json.at("address").get<std::string>();
+        entry.peer.port = json.at("port").get<std::uint16_t>();
+        entry.service.value = json.at("service").get<std::string>();
+        entry.nodeStartedAtMs = json.at("started_at_ms").get<std::uint64_t>();
+        entry.instance = json.at("instance").get<std::string>();
+        entry.slots = json.at("slots").get<int>();
+        entry.accepting = json.at("accepting").get<bool>();
+        return entry;
+    } catch (const nlohmann::json::exception &exception) {
+        return makeError(ErrorKind::InvalidMessage,
+                         std::string("A row of the node registry cannot be read: ") + exception.what() + ".",
+                         "Check that all nodes run compatible versions and that nothing else writes the table.");
+    }
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/gate/internal/workgate.cpp
@@ -0,0 +1,172 @@
+#include "gate/workgate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillatack {
+
+namespace {
+
+/// Share of the announced slots that is used. Instances slow down when nearly full, and a new connection can hold a
+/// slot for a moment.
+constexpr double UsableSlots = 0.94;
+/// Share used right after the instance refused for lack of room.
+constexpr double UsableAfterOverflow = 0.7;
+constexpr Duration OverflowRecovery = std::chrono::seconds(2);
+/// Weight of the newest work time in the mean; about the last 30 requests count.
+constexpr double WorkTimeWeight = 0.06;
+/// Assumed for routes of which nothing has ended yet.
+constexpr Duration UnknownWorkTime = std::chrono::milliseconds(50);
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+} // namespace
+
+void WorkGate::setSlots(int slots)
+{
+    m_slots = std::max(slots, 0);
+}
+
+void WorkGate::recordOverflow(TimePoint now)
+{
+    m_overflowAt = now;
+}
+
+int WorkGate::limit(TimePoint now) const
+{
+    double usable = UsableSlots;
+    const Duration since = now - m_overflowAt;
+    if (m_overflowAt != TimePoint{} && since < OverflowRecovery) {
+        usable =
+            UsableAfterOverflow + (UsableSlots - UsableAfterOverflow) * (seconds(since) / seconds(OverflowRecovery));
+    }
+    return m_slots == 0 ? 0 : std::max(1, static_cast<int>(m_slots * usable));
+}
+
+GateDecision WorkGate::offer(const GateRequest &request, TimePoint now)
+{
+    if (m_queued == 0 && running() < limit(now)) {
+        start(request, now);
+        return {.outcome = GateOutcome::Start, .expectedWait = Duration{0}};
+    }
+    const QueueKey key{!request.inProgress, request.rank};
+    const Duration wait = expectedWait(key, now);
+    const Duration left = request.deadline - now - meanWork(request.route);
+    if (wait > std::min(left, request.maxWait)) {
+        return {.outcome = GateOutcome::Refused, .expectedWait = wait};
+    }
+    m_queues[key].push_back({request, now});
+    ++m_queued;
+    return {.outcome = GateOutcome::Queued, .expectedWait = wait};
+}
+
+void WorkGate::start(const GateRequest &request, TimePoint now)
+{
+    m_running[request.ticket] = {request.route, now};
+}
+
+std::vector<TicketId> WorkGate::finish(TicketId ticket, bool wholeAnswer, TimePoint now)
+{
+    const auto entry = m_running.find(ticket);
+    if (entry != m_running.end()) {
+        if (wholeAnswer) {
+            const double work = seconds(now - entry->second.at);
+            auto [mean, first] = m_workSeconds.try_emplace(entry->second.route, work);
+            mean->second += first ? 0 : WorkTimeWeight * (work - mean->second);
+        }
+        m_running.erase(entry);
+    }
+    std::vector<TicketId> started;
+    const int room = limit(now);
+    for (auto &[key, queue] : m_queues) {
+        while (!queue.empty() && running() < room) {
+            const GateRequest request = queue.front().request;
+            queue.erase(queue.begin());
+            --m_queued;
+            start(request, now);
+            started.push_back(request.ticket);
+        }
+    }
+    return started;
+}
+
+bool WorkGate::withdraw(TicketId ticket)
+{
+    for (auto &[key, queue] : m_queues) {
+        const std::size_t removed = std::erase_if(queue, [ticket](const Waiting &waiting) {
+            return waiting.request.ticket == ticket;
+        });
+        if (removed > 0) {
+            --m_queued;
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<TicketId> WorkGate::expire(TimePoint now)
+{
+    std::vector<TicketId> expired;
+    for (auto &[key, queue] : m_queues) {
+        std::erase_if(queue, [&](const Waiting &waiting) {
+            const Duration work = meanWork(waiting.request.route);
+            const bool late = now - waiting.since > waiting.request.maxWait || now + work > waiting.request.deadline;
+            if (late) {
+                expired.push_back(waiting.request.ticket);
+            }
+            return late;
+        });
+    }
+    m_queued -= static_cast<int>(expired.size());
+    return expired;
+}
+
+std::vector<TicketId> WorkGate::clear()
+{
+    std::vector<TicketId> removed;
+    for (const auto &[key, queue] : m_queues) {
+        for (const Waiting &waiting : queue) {
+            removed.push_back(waiting.request.ticket);
+        }
+    }
+    m_queues.clear();
+    m_queued = 0;
+    return removed;
+}
+
+Duration WorkGate::workTime(const RouteName &route) const
+{
+    const auto entry = m_workSeconds.find(route);
+    return entry == m_workSeconds.end() ? Duration{0} : fromSeconds(entry->second);
+}
+
+Duration WorkGate::meanWork(const RouteName &route) const
+{
+    const Duration known = workTime(route);
+    return known == Duration{0} ? UnknownWorkTime : known;
+}
+
+Duration WorkGate::expectedWait(QueueKey key, TimePoint now) const
+{
+    double work = 0;
+    for (const auto &[queueKey, queue] : m_queues) {
+        if (queueKey > key) {
+            break;
+        }
+        for (const Waiting &waiting : queue) {
+            work += seconds(meanWork(waiting.request.route));
+        }
+    }
+    const int room = std::max(limit(now), 1);
+    return fromSeconds(work / room);
+}
+
+} // namespace vanillatack
--- a/src/transport/internal/http.cpp
+++ b/src/http/internal/http.cpp
@@ -1,4 +1,4 @@
-#include "transport/http.h"
+#include "http/http.h"
 
 #include "base/text.h"
 
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -28,6 +28,8 @@
     std::string target; ///< Path and query.
     HeaderList headers;
     std::string body;
+    int rank = 0; ///< Importance among requests of the same gate; 0 is served first, at most 255.
+    std::string instance; ///< Id of the instance that the sender means; empty for any.
 };
 
 /// The reply to a CallRequest: an answer of the upstream, or a refusal.
@@ -238,6 +240,41 @@
     std::string content;
 };
 
+// ---- load --------------------------------------------------------------------------------------------------------
+
+/// Load of one route as seen by one node.
+struct RouteLoad {
+    RouteName route;
+    double offeredPerSecond = 0; ///< Root requests that entered at the node, admitted or not.
+    double workSeconds = 0; ///< Mean time that a request occupies a slot of the node's instance; 0 unknown.
+};
+
+/// Mean number of calls to a route that one request of another route causes at the node's instance.
+struct CallEdge {
+    RouteName caller;
+    RouteName callee;
+    double callsPerRequest = 0;
+};
+
+struct WorkspaceDemand {
+    WorkspaceName workspace;
+    double perSecond = 0; ///< Requests that entered at the node.
+};
+
+/// What a node tells the others about its load, in a datagram.
+struct NodeReport {
+    NodeName node;
+    std::uint64_t startedAtMs = 0; ///< Wall time of the process's start; orders reports over restarts.
+    std::uint64_t sequence = 0;
+    ServiceName service;
+    int slots = 0; ///< Requests that the gate of the node's instance passes on at once; 0 when it accepts none.
+    int running = 0;
+    int queued = 0;
+    std::vector<RouteLoad> loads;
+    std::vector<CallEdge> edges;
+    std::vector<WorkspaceDemand> demands;
+};
+
 using ControlMessage = std::variant<Ping,
                                     PingIndirect,
                                     Ack,
--- /dev/null
+++ b/src/net/internal/httpclient.cpp
@@ -0,0 +1,401 @@
+#include "net/httpclient.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace vanillatack {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+constexpr std::size_t ReadBytes = 8192;
+constexpr std::uint32_t HeadBytes = 32768;
+/// Silence of a peer with unacknowledged bytes after which its connection counts as dead.
+constexpr Duration DeadPeerTimeout = std::chrono::seconds(3);
+/// Taken off the lifetime that a server names, for the time a request takes to reach it.
+constexpr Duration IdleMargin = std::chrono::seconds(1);
+
+struct Connection {
+    explicit Connection(asio::io_context &context)
+        : socket(context)
+    {
+    }
+
+    Tcp::socket socket;
+    Endpoint server;
+    boost::beast::flat_buffer input;
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::string output;
+    ClientCallId call; ///< 0 while idle.
+    ClientCompletion completion;
+    EchoedHeader echoed;
+    bool sawForeignAnswer = false; ///< An answer to an earlier request came; the connection is not kept.
+    EventLoop::TimerId timer = 0;
+    TimePoint idleUntil;
+    bool connected = false;
+    bool sent = false; ///< A byte of the request may have reached the server.
+    bool writing = false;
+    bool headRequest = false;
+};
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+std::string serialize(const HttpRequest &request)
+{
+    std::string out = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
+    for (const auto &[name, value] : request.headers) {
+        absl::StrAppend(&out, name, ": ", value, "\r\n");
+    }
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+        absl::StrAppend(&out, "Content-Length: ", request.body.size(), "\r\n");
+    }
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+class HttpClient final : public IHttpClient
+{
+public:
+    HttpClient(EventLoop &loop, const HttpClientSettings &settings)
+        : m_loop(loop)
+        , m_settings(settings)
+    {
+    }
+
+    ClientCallId send(const Endpoint &server,
+                      const HttpRequest &request,
+                      Duration timeout,
+                      const EchoedHeader &echoed,
+                      ClientCompletion completion) override;
+    void cancel(ClientCallId call) override;
+    void forget(const Endpoint &server) override;
+
+    [[nodiscard]] std::uint64_t connectionsOpened() const override
+    {
+        return m_opened;
+    }
+
+private:
+    ConnectionPointer takeIdle(const Endpoint &server);
+    void connect(const ConnectionPointer &connection);
+    void write(const ConnectionPointer &connection);
+    void prepareParser(Connection &connection) const;
+    static bool isForeign(const Connection &connection);
+    void read(const ConnectionPointer &connection);
+    void onBytes(const ConnectionPointer &connection);
+    void onEnd(const ConnectionPointer &connection, const error_code &error);
+    void finishMessage(const ConnectionPointer &connection);
+    void complete(const ConnectionPointer &connection, ClientResult result);
+    void keep(const ConnectionPointer &connection);
+    void drop(const ConnectionPointer &connection);
+    [[nodiscard]] Duration idleLifetime(std::string_view keepAlive) const;
+
+    EventLoop &m_loop;
+    HttpClientSettings m_settings;
+    SystemClock m_clock;
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_opened = 0;
+    absl::flat_hash_map<ClientCallId, ConnectionPointer> m_calls;
+    absl::flat_hash_map<Endpoint, std::vector<ConnectionPointer>> m_idle;
+};
+
+ClientCallId HttpClient::send(const Endpoint &server,
+                              const HttpRequest &request,
+                              Duration timeout,
+                              const EchoedHeader &echoed,
+                              ClientCompletion completion)
+{
+    const ClientCallId call{++m_lastCall};
+    ConnectionPointer connection = takeIdle(server);
+    const bool fresh = connection == nullptr;
+    if (fresh) {
+        connection = std::make_shared<Connection>(m_loop.context());
+        connection->server = server;
+    }
+    connection->call = call;
+    connection->completion = std::move(completion);
+    connection->echoed = echoed;
+    connection->output = serialize(request);
+    connection->headRequest = request.method == "HEAD";
+    connection->sent = false;
+    connection->timer = m_loop.callAfter(std::max(timeout, Duration{0}), [this, connection] {
+        connection->timer = 0;
+        ClientResult result;
+        result.end = ClientEnd::TimedOut;
+        result.sentAnything = connection->sent;
+        drop(connection);
+        complete(connection, std::move(result));
+    });
+    m_calls.emplace(call, connection);
+    if (fresh) {
+        connect(connection);
+    } else {
+        write(connection);
+    }
+    return call;
+}
+
+ConnectionPointer HttpClient::takeIdle(const Endpoint &server)
+{
+    std::vector<ConnectionPointer> &idle = m_idle[server];
+    while (!idle.empty()) {
+        ConnectionPointer connection = idle.back();
+        idle.pop_back();
+        if (connection->socket.is_open() && connection->idleUntil > m_clock.now()) {
+            return connection;
+        }
+        drop(connection);
+    }
+    return nullptr;
+}
+
+void HttpClient::connect(const ConnectionPointer &connection)
+{
+    ++m_opened;
+    const EventLoop::TimerId limit = m_loop.callAfter(m_settings.connectTimeout, [this, connection] {
+        if (!connection->connected) {
+            drop(connection);
+            complete(connection, {.end = ClientEnd::NotSent, .sentAnything = false, .response = {}});
+        }
+    });
+    connection->socket.async_connect(toTcp(connection->server), [this, connection, limit](const error_code &error) {
+        m_loop.cancel(limit);
+        if (connection->call.value == 0 || !connection->socket.is_open()) {
+            return;
+        }
+        if (error) {
+            drop(connection);
+            complete(connection, {.end = ClientEnd::NotSent, .sentAnything = false, .response = {}});
+            return;
+        }
+        connection->connected = true;
+        error_code ignored; // A connection that is gone is reported by the write.
+        connection->socket.set_option(Tcp::no_delay(true), ignored);
+        setDeadPeerDetection(connection->socket, DeadPeerTimeout);
+        read(connection);
+        write(connection);
+    });
+}
+
+void HttpClient::write(const ConnectionPointer &connection)
+{
+    connection->sent = true;
+    connection->writing = true;
+    prepareParser(*connection);
+    asio::async_write(connection->socket,
+                      asio::buffer(connection->output),
+                      [connection](const error_code & /*error*/, std::size_t /*bytes*/) {
+                          // A failed write is reported by the read, which may still get an early answer.
+                          connection->writing = false;
+                      });
+}
+
+void HttpClient::prepareParser(Connection &connection) const
+{
+    connection.parser.emplace();
+    connection.parser->eager(true);
+    connection.parser->skip(connection.headRequest);
+    connection.parser->header_limit(HeadBytes);
+    connection.parser->body_limit(m_settings.maxBodyBytes);
+}
+
+bool HttpClient::isForeign(const Connection &connection)
+{
+    if (connection.echoed.name.empty()) {
+        return false;
+    }
+    const auto &message = connection.parser->get();
+    const auto field = message.find(connection.echoed.name);
+    return field != message.end()
+        && std::string_view(field->value().data(), field->value().size()) != connection.echoed.value;
+}
+
+// Also reads while the connection is idle, to notice its end and bytes that belong to no request.
+void HttpClient::read(const ConnectionPointer &connection)
+{
+    connection->socket.async_read_some(connection->input.prepare(ReadBytes),
+                                       [this, connection](const error_code &error, std::size_t bytes) {
+                                           if (!connection->socket.is_open()) {
+                                               return;
+                                           }
+                                           connection->input.commit(bytes);
+                                           if (connection->call.value == 0) {
+                                               drop(connection);
+                                               return;
+                                           }
+                                           if (error) {
+                                               onEnd(connection, error);
+                                               return;
+                                           }
+                                           onBytes(connection);
+                                           if (connection->socket.is_open()) {
+                                               read(connection);
+                                           }
+                                       });
+}
+
+void HttpClient::onBytes(const ConnectionPointer &connection)
+{
+    while (connection->call.value != 0 && connection->input.size() > 0) {
+        error_code error;
+        connection->input.consume(connection->parser->put(connection->input.data(), error));
+        if (error == http::error::need_more) {
+            return;
+        }
+        if (error) {
+            drop(connection);
+            complete(connection, {.end = ClientEnd::Broken, .sentAnything = true, .response = {}});
+            return;
+        }
+        if (!connection->parser->is_done()) {
+            continue;
+        }
+        const bool interim = connection->parser->get().result_int() < 200;
+        if (interim || isForeign(*connection)) {
+            connection->sawForeignAnswer |= !interim;
+            prepareParser(*connection);
+            continue;
+        }
+        finishMessage(connection);
+        return;
+    }
+}
+
+void HttpClient::onEnd(const ConnectionPointer &connection, const error_code &error)
+{
+    if (error == asio::error::eof && connection->parser && connection->parser->is_header_done()
+        && connection->parser->need_eof()) {
+        error_code ended;
+        connection->parser->put_eof(ended);
+        if (!ended) {
+            finishMessage(connection);
+            return;
+        }
+    }
+    drop(connection);
+    complete(connection, {.end = ClientEnd::Broken, .sentAnything = connection->sent, .response = {}});
+}
+
+void HttpClient::finishMessage(const ConnectionPointer &connection)
+{
+    auto message = connection->parser->release();
+    ClientResult result;
+    result.end = ClientEnd::Complete;
+    result.sentAnything = true;
+    result.response.status = static_cast<int>(message.result_int());
+    for (const auto &field : message) {
+        result.response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    result.response.body = std::move(message.body());
+    result.response.closeConnection = !message.keep_alive();
+    // Bytes behind the answer, or a request body that the server did not wait for, make the connection unusable.
+    const bool reusable = message.keep_alive() && !message.need_eof() && connection->input.size() == 0
+        && !connection->writing && !connection->sawForeignAnswer && connection->socket.is_open();
+    connection->idleUntil = m_clock.now()
+        + idleLifetime({message[http::field::keep_alive].data(), message[http::field::keep_alive].size()});
+    if (!reusable) {
+        drop(connection);
+    }
+    complete(connection, std::move(result));
+    if (reusable) {
+        keep(connection);
+    }
+}
+
+Duration HttpClient::idleLifetime(std::string_view keepAlive) const
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::size_t at = keepAlive.find(Parameter);
+    if (at == std::string_view::npos) {
+        return m_settings.idleLifetime;
+    }
+    const std::string_view digits = keepAlive.substr(at + Parameter.size());
+    const std::size_t length = std::min(digits.find_first_not_of("0123456789"), digits.size());
+    int seconds = 0;
+    if (!absl::SimpleAtoi(std::string(digits.substr(0, length)), &seconds)) {
+        return m_settings.idleLifetime;
+    }
+    return std::min<Duration>(m_settings.idleLifetime, std::chrono::seconds(seconds) - IdleMargin);
+}
+
+void HttpClient::complete(const ConnectionPointer &connection, ClientResult result)
+{
+    if (m_calls.erase(connection->call) == 0) {
+        return;
+    }
+    m_loop.cancel(connection->timer);
+    connection->timer = 0;
+    connection->call = {};
+    connection->output.clear();
+    const ClientCompletion completion = std::move(connection->completion);
+    connection->completion = nullptr;
+    // Called from the loop, so that the caller of send() or cancel() is not re-entered.
+    asio::post(m_loop.context(), [completion, result = std::move(result)] {
+        completion(result);
+    });
+}
+
+void HttpClient::keep(const ConnectionPointer &connection)
+{
+    std::vector<ConnectionPointer> &idle = m_idle[connection->server];
+    std::erase_if(idle, [](const ConnectionPointer &other) {
+        return !other->socket.is_open();
+    });
+    if (idle.size() >= m_settings.maxIdle) {
+        drop(connection);
+        return;
+    }
+    idle.push_back(connection);
+}
+
+void HttpClient::drop(const ConnectionPointer &connection)
+{
+    error_code ignored; // Closing an already closed socket is harmless.
+    connection->socket.close(ignored);
+}
+
+void HttpClient::cancel(ClientCallId call)
+{
+    const auto entry = m_calls.find(call);
+    if (entry == m_calls.end()) {
+        return;
+    }
+    const ConnectionPointer connection = entry->second;
+    m_calls.erase(entry);
+    m_loop.cancel(connection->timer);
+    connection->call = {};
+    connection->completion = nullptr;
+    drop(connection);
+}
+
+void HttpClient::forget(const Endpoint &server)
+{
+    const auto idle = m_idle.extract(server);
+    if (!idle.empty()) {
+        for (const ConnectionPointer &connection : idle.mapped()) {
+            drop(connection);
+        }
+    }
+}
+
+} // namespace
+
+std::unique_ptr<IHttpClient> makeHttpClient(EventLoop &loop, const HttpClientSettings &settings)
+{
+    return std::make_unique<HttpClient>(loop, settings);
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/net/internal/httpserver.cpp
@@ -0,0 +1,416 @@
+#include "net/httpserver.h"
+
+#include "base/log.h"
+#include "net/internal/requestframing.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <optional>
+#include <vector>
+
+namespace vanillatack {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+constexpr Log ServerLog("http");
+
+/// Bytes read at once from a caller.
+constexpr std::size_t ReadBytes = 16384;
+/// Unparsed bytes of pipelined requests after which a connection is not read until its answer is sent.
+constexpr std::size_t PipelineBytes = 65536;
+/// How often time-outs of connections are looked at.
+constexpr Duration SweepInterval = std::chrono::milliseconds(500);
+/// Longest time to send one answer to a caller that reads slowly.
+constexpr Duration SendTimeout = std::chrono::seconds(30);
+/// Closing at once would reset a connection with unread bytes, and the caller could lose the answer.
+constexpr Duration LingerTimeout = std::chrono::seconds(2);
+/// Pause of accepting when the process has no file descriptor left.
+constexpr Duration AcceptPause = std::chrono::milliseconds(50);
+
+enum class Phase {
+    Idle, ///< Between two requests.
+    Reading, ///< A part of a request has come.
+    Handling, ///< The listener has the request.
+    Sending, ///< The answer is being written.
+    Closing, ///< The last answer is sent; what the caller still sends is dropped until it closes.
+};
+
+class HttpServer final : public IHttpServer
+{
+public:
+    HttpServer(EventLoop &loop, IHttpListener &listener)
+        : m_loop(loop)
+        , m_listener(listener)
+        , m_acceptor(loop.context())
+    {
+    }
+
+    Result<void> listen(const Endpoint &endpoint) override
+    {
+        error_code error;
+        m_acceptor.open(Tcp::v4(), error);
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        m_acceptor.bind(toTcp(endpoint), error);
+        if (!error) {
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return makeError(ErrorKind::Unavailable,
+                             "The address " + endpoint.text() + " cannot be opened: " + error.message() + ".",
+                             "Choose a free port of an address of this VM.");
+        }
+        accept();
+        sweep();
+        return success();
+    }
+
+    void respond(ExchangeId exchange, HttpResponse response) override;
+
+    void setLimits(const HttpServerLimits &limits) override
+    {
+        m_limits = limits;
+    }
+
+    void startDraining() override
+    {
+        m_draining = true;
+    }
+
+    void closeIdle() override;
+
+    [[nodiscard]] std::size_t connections() const override
+    {
+        return m_connections.size();
+    }
+
+    [[nodiscard]] std::size_t bytesHeld() const override
+    {
+        return m_bytesHeld;
+    }
+
+    [[nodiscard]] std::uint16_t port() const override
+    {
+        error_code error;
+        return m_acceptor.local_endpoint(error).port();
+    }
+
+private:
+    struct Connection {
+        explicit Connection(Tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
+        std::uint64_t id = 0;
+        Tcp::socket socket;
+        boost::beast::flat_buffer input;
+        std::optional<http::request_parser<http::string_body>> parser;
+        std::string output;
+        std::string peerAddress;
+        Phase phase = Phase::Idle;
+        ExchangeId exchange;
+        TimePoint since; ///< Start of the phase.
+        bool readPending = false;
+        bool closeAfterAnswer = false;
+        bool headRequest = false; ///< The answer has no body.
+        std::size_t held = 0; ///< Bytes counted for this connection in m_bytesHeld.
+    };
+    using ConnectionPointer = std::shared_ptr<Connection>;
+
+    void accept();
+    void sweep();
+    void read(const ConnectionPointer &connection);
+    void onBytes(const ConnectionPointer &connection, std::size_t bytes);
+    void parse(const ConnectionPointer &connection);
+    bool takeRequest(const ConnectionPointer &connection);
+    void refuse(const ConnectionPointer &connection, int status);
+    void send(const ConnectionPointer &connection, const HttpResponse &response);
+    void linger(const ConnectionPointer &connection);
+    void close(const ConnectionPointer &connection);
+    void setPhase(const ConnectionPointer &connection, Phase phase);
+    void hold(const ConnectionPointer &connection, std::size_t bytes);
+
+    EventLoop &m_loop;
+    IHttpListener &m_listener;
+    Tcp::acceptor m_acceptor;
+    SystemClock m_clock; // Asio's timers use the same clock.
+    HttpServerLimits m_limits;
+    bool m_draining = false;
+    std::size_t m_bytesHeld = 0;
+    std::uint64_t m_lastId = 0;
+    std::array<char, ReadBytes> m_chunk{};
+    absl::flat_hash_map<std::uint64_t, ConnectionPointer> m_connections;
+    absl::flat_hash_map<ExchangeId, std::uint64_t> m_exchanges;
+};
+
+void HttpServer::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, Tcp::socket socket) {
+        if (error) {
+            ServerLog.warning("A connection could not be accepted.", {{"error", error.message()}});
+            m_loop.callAfter(AcceptPause, [this] {
+                accept();
+            });
+            return;
+        }
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        error_code ignored; // The connection may be gone already; reading reports it.
+        connection->socket.set_option(Tcp::no_delay(true), ignored);
+        connection->socket.non_blocking(true, ignored);
+        connection->peerAddress = connection->socket.remote_endpoint(ignored).address().to_string(ignored);
+        connection->id = ++m_lastId;
+        connection->since = m_clock.now();
+        m_connections.emplace(connection->id, connection);
+        read(connection);
+        accept();
+    });
+}
+
+void HttpServer::sweep()
+{
+    const TimePoint now = m_clock.now();
+    std::vector<ConnectionPointer> expired;
+    for (const auto &[id, connection] : m_connections) {
+        const Duration age = now - connection->since;
+        const bool late = (connection->phase == Phase::Idle && age > m_limits.idleTimeout)
+            || (connection->phase == Phase::Reading && age > m_limits.headTimeout + m_limits.idleTimeout)
+            || (connection->phase == Phase::Sending && age > SendTimeout)
+            || (connection->phase == Phase::Closing && age > LingerTimeout);
+        if (late) {
+            expired.push_back(connection);
+        }
+    }
+    for (const ConnectionPointer &connection : expired) {
+        close(connection);
+    }
+    m_loop.callAfter(SweepInterval, [this] {
+        sweep();
+    });
+}
+
+void HttpServer::read(const ConnectionPointer &connection)
+{
+    if (connection->readPending || !connection->socket.is_open()) {
+        return;
+    }
+    connection->readPending = true;
+    // Waits without a buffer: most connections are idle, and the input buffer moves while requests are parsed from it.
+    connection->socket.async_wait(Tcp::socket::wait_read, [this, connection](const error_code &waited) {
+        connection->readPending = false;
+        if (!connection->socket.is_open()) {
+            return;
+        }
+        error_code error = waited;
+        const std::size_t bytes = error ? 0 : connection->socket.read_some(asio::buffer(m_chunk), error);
+        if (error == asio::error::would_block) {
+            read(connection);
+            return;
+        }
+        if (error) {
+            close(connection);
+            return;
+        }
+        onBytes(connection, bytes);
+    });
+}
+
+void HttpServer::onBytes(const ConnectionPointer &connection, std::size_t bytes)
+{
+    if (connection->phase != Phase::Closing) {
+        const auto room = connection->input.prepare(bytes);
+        connection->input.commit(asio::buffer_copy(room, asio::buffer(m_chunk.data(), bytes)));
+    }
+    if (connection->phase == Phase::Idle || connection->phase == Phase::Reading) {
+        parse(connection);
+    }
+    if (connection->input.size() < PipelineBytes || connection->phase == Phase::Reading) {
+        read(connection);
+    }
+}
+
+void HttpServer::parse(const ConnectionPointer &connection)
+{
+    while (connection->input.size() > 0 && (connection->phase == Phase::Idle || connection->phase == Phase::Reading)) {
+        if (!connection->parser) {
+            connection->parser.emplace();
+            connection->parser->eager(true);
+            connection->parser->header_limit(static_cast<std::uint32_t>(m_limits.headBytes));
+            connection->parser->body_limit(m_limits.bodyBytes);
+            setPhase(connection, Phase::Reading);
+        }
+        error_code error;
+        const std::size_t used = connection->parser->put(connection->input.data(), error);
+        connection->input.consume(used);
+        if (connection->parser->is_header_done() && hasAmbiguousFraming(connection->parser->get())) {
+            refuse(connection, 400);
+            return;
+        }
+        if (error == http::error::need_more) {
+            return;
+        }
+        if (error) {
+            const bool tooLarge = error == http::error::body_limit;
+            const bool headTooLarge = error == http::error::header_limit;
+            refuse(connection, tooLarge ? 413 : headTooLarge ? 431 : 400);
+            return;
+        }
+        if (connection->parser->is_done() && !takeRequest(connection)) {
+            return;
+        }
+    }
+}
+
+/// Hands a whole request to the listener. Returns false when the connection is not to be read on.
+bool HttpServer::takeRequest(const ConnectionPointer &connection)
+{
+    auto message = connection->parser->release();
+    connection->parser.reset();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    connection->closeAfterAnswer = !message.keep_alive();
+    connection->headRequest = message.method() == http::verb::head;
+    hold(connection, request.body.size() + request.target.size());
+    setPhase(connection, Phase::Handling);
+    connection->exchange = ExchangeId{++m_lastId};
+    m_exchanges.emplace(connection->exchange, connection->id);
+    m_listener.onRequest(connection->exchange, std::move(request), connection->peerAddress);
+    return connection->socket.is_open();
+}
+
+void HttpServer::refuse(const ConnectionPointer &connection, int status)
+{
+    connection->parser.reset();
+    connection->closeAfterAnswer = true;
+    HttpResponse response;
+    response.status = status;
+    send(connection, response);
+}
+
+void HttpServer::respond(ExchangeId exchange, HttpResponse response)
+{
+    const auto entry = m_exchanges.find(exchange);
+    if (entry == m_exchanges.end()) {
+        return;
+    }
+    const ConnectionPointer connection = m_connections.at(entry->second);
+    m_exchanges.erase(entry);
+    connection->exchange = {};
+    send(connection, response);
+}
+
+void HttpServer::send(const ConnectionPointer &connection, const HttpResponse &response)
+{
+    connection->closeAfterAnswer |= response.closeConnection || m_draining;
+    std::string &out = connection->output;
+    out = absl::StrCat("HTTP/1.1 ", response.status, " ", std::string(reasonPhrase(response.status)), "\r\n");
+    for (const auto &[name, value] : response.headers) {
+        absl::StrAppend(&out, name, ": ", value, "\r\n");
+    }
+    if (response.status != 204 && response.status != 304) {
+        absl::StrAppend(&out, "Content-Length: ", response.body.size(), "\r\n");
+    }
+    out += connection->closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    if (!connection->headRequest) {
+        out += response.body;
+    }
+    hold(connection, out.size());
+    setPhase(connection, Phase::Sending);
+    asio::async_write(
+        connection->socket, asio::buffer(out), [this, connection](const error_code &error, std::size_t /*bytes*/) {
+            if (!connection->socket.is_open()) {
+                return;
+            }
+            connection->output.clear();
+            hold(connection, 0);
+            if (error) {
+                close(connection);
+                return;
+            }
+            if (connection->closeAfterAnswer) {
+                linger(connection);
+                return;
+            }
+            setPhase(connection, Phase::Idle);
+            parse(connection);
+            read(connection);
+        });
+}
+
+void HttpServer::linger(const ConnectionPointer &connection)
+{
+    error_code ignored; // The peer may have closed first.
+    connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    setPhase(connection, Phase::Closing);
+    connection->input.clear();
+    read(connection);
+}
+
+void HttpServer::close(const ConnectionPointer &connection)
+{
+    if (m_connections.erase(connection->id) == 0) {
+        return;
+    }
+    hold(connection, 0);
+    error_code ignored; // The peer may have closed first.
+    connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    connection->socket.close(ignored);
+    if (connection->exchange.value != 0 && m_exchanges.erase(connection->exchange) == 1) {
+        m_listener.onCallerGone(connection->exchange);
+    }
+}
+
+void HttpServer::closeIdle()
+{
+    std::vector<ConnectionPointer> idle;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->phase == Phase::Idle) {
+            idle.push_back(connection);
+        }
+    }
+    for (const ConnectionPointer &connection : idle) {
+        close(connection);
+    }
+}
+
+void HttpServer::setPhase(const ConnectionPointer &connection, Phase phase)
+{
+    connection->phase = phase;
+    connection->since = m_clock.now();
+}
+
+void HttpServer::hold(const ConnectionPointer &connection, std::size_t bytes)
+{
+    m_bytesHeld += bytes - connection->held;
+    connection->held = bytes;
+}
+
+} // namespace
+
+std::unique_ptr<IHttpServer> makeHttpServer(EventLoop &loop, IHttpListener &listener)
+{
+    return std::make_unique<HttpServer>(loop, listener);
+}
+
+std::string_view reasonPhrase(int status)
+{
+    const auto phrase = http::obsolete_reason(static_cast<http::status>(status));
+    return {phrase.data(), phrase.size()};
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/net/internal/peerlink.cpp
@@ -0,0 +1,365 @@
+#include "net/peerlink.h"
+
+#include "base/log.h"
+#include "net/internal/frameconnection.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/ip/udp.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace vanillatack {
+
+namespace {
+
+using boost::system::error_code;
+using Tcp = boost::asio::ip::tcp;
+using Udp = boost::asio::ip::udp;
+using FramePointer = std::shared_ptr<FrameConnection>;
+
+constexpr Log LinkLog("peerlink");
+/// Pause of accepting when the process has no file descriptor left.
+constexpr Duration AcceptPause = std::chrono::milliseconds(50);
+/// Silence of a peer with unacknowledged bytes after which the kernel gives its connection up.
+constexpr Duration DeadPeerTimeout = std::chrono::seconds(3);
+/// Bytes that wait for a slow node, above which it gets no further calls.
+constexpr std::size_t BacklogLimit = std::size_t{8} << 20;
+constexpr std::size_t DatagramBytes = 16384;
+
+class PeerLink final : public IPeerLink
+{
+public:
+    PeerLink(EventLoop &loop, IPeerListener &listener, const PeerLinkSettings &settings)
+        : m_loop(loop)
+        , m_listener(listener)
+        , m_settings(settings)
+        , m_acceptor(loop.context())
+        , m_datagrams(loop.context())
+    {
+    }
+
+    Result<void> listen(const Endpoint &endpoint) override;
+    OutgoingCallId call(const Endpoint &node, CallRequest request, PeerCompletion completion) override;
+    void cancel(OutgoingCallId call) override;
+    void reply(PeerCallId call, CallReply reply) override;
+    void sendReport(const Endpoint &node, const NodeReport &report) override;
+
+private:
+    struct Outgoing {
+        Endpoint node;
+        PeerCompletion completion;
+        bool sent = false;
+    };
+
+    /// The connection to one node and the calls on it.
+    struct Peer {
+        FramePointer connection; ///< Empty while connecting.
+        std::map<OutgoingCallId, CallRequest> waiting; ///< Until the connection is there.
+        std::map<OutgoingCallId, bool> out;
+        TimePoint probedAt;
+        bool connecting = false;
+    };
+
+    struct Incoming {
+        FramePointer connection;
+        std::uint64_t requestId = 0; ///< As chosen by the calling node.
+    };
+
+    void accept();
+    void receiveDatagram();
+    void connect(const Endpoint &node);
+    void onConnected(const Endpoint &node, const FramePointer &connection);
+    void onPeerFrame(const Endpoint &node, Frame frame);
+    void onCallerFrame(const FramePointer &connection, Frame frame);
+    void abandonCalls(const FramePointer &connection);
+    void failPeer(const Endpoint &node);
+    void watch(const Endpoint &node);
+    void complete(OutgoingCallId call, PeerCallEnd end, CallReply reply);
+
+    EventLoop &m_loop;
+    IPeerListener &m_listener;
+    PeerLinkSettings m_settings;
+    SystemClock m_clock;
+    Tcp::acceptor m_acceptor;
+    Udp::socket m_datagrams;
+    std::array<char, DatagramBytes> m_datagram{};
+    Udp::endpoint m_datagramSender;
+    std::uint64_t m_lastId = 0;
+    std::map<Endpoint, Peer> m_peers;
+    absl::flat_hash_map<OutgoingCallId, Outgoing> m_outgoing;
+    absl::flat_hash_map<PeerCallId, Incoming> m_incoming;
+    std::map<FramePointer, std::map<std::uint64_t, PeerCallId>> m_callers;
+};
+
+Result<void> PeerLink::listen(const Endpoint &endpoint)
+{
+    error_code error;
+    m_acceptor.open(Tcp::v4(), error);
+    m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    m_acceptor.bind(toTcp(endpoint), error);
+    if (!error) {
+        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    if (!error) {
+        m_datagrams.open(Udp::v4(), error);
+    }
+    if (!error) {
+        m_datagrams.bind({toTcp(endpoint).address(), endpoint.port}, error);
+    }
+    if (error) {
+        return makeError(ErrorKind::Unavailable,
+                         "The node port " + endpoint.text() + " cannot be opened: " + error.message() + ".",
+                         "Choose a free port of an address of this VM.");
+    }
+    accept();
+    receiveDatagram();
+    return success();
+}
+
+void PeerLink::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, Tcp::socket socket) {
+        if (error) {
+            LinkLog.warning("A connection of a node could not be accepted.", {{"error", error.message()}});
+            m_loop.callAfter(AcceptPause, [this] {
+                accept();
+            });
+            return;
+        }
+        auto connection = std::make_shared<FrameConnection>(std::move(socket), m_settings.maxFrameBytes);
+        setDeadPeerDetection(connection->socket(), DeadPeerTimeout);
+        m_callers[connection] = {};
+        const std::weak_ptr<FrameConnection> weak = connection;
+        connection->start({.onFrame =
+                               [this, weak](Frame frame) {
+                                   if (const FramePointer caller = weak.lock()) {
+                                       onCallerFrame(caller, std::move(frame));
+                                   }
+                               },
+                           .onClosed =
+                               [this, weak] {
+                                   if (const FramePointer caller = weak.lock()) {
+                                       abandonCalls(caller);
+                                   }
+                               }});
+        accept();
+    });
+}
+
+void PeerLink::receiveDatagram()
+{
+    m_datagrams.async_receive_from(
+        boost::asio::buffer(m_datagram), m_datagramSender, [this](const error_code &error, std::size_t bytes) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                const Result<Frame> frame = decodeFrame({m_datagram.data(), bytes});
+                if (!frame) {
+                    LinkLog.warning("A datagram cannot be decoded.", {{"error", frame.error().text()}});
+                } else if (const auto *report = std::get_if<NodeReport>(&frame.value())) {
+                    m_listener.onReport(*report);
+                }
+            }
+            receiveDatagram();
+        });
+}
+
+void PeerLink::sendReport(const Endpoint &node, const NodeReport &report)
+{
+    const std::string bytes = encodeFrame(report);
+    error_code ignored; // The next report replaces one that cannot be sent.
+    m_datagrams.send_to(boost::asio::buffer(bytes), {toTcp(node).address(), node.port}, 0, ignored);
+}
+
+OutgoingCallId PeerLink::call(const Endpoint &node, CallRequest request, PeerCompletion completion)
+{
+    const OutgoingCallId id{++m_lastId};
+    request.requestId = id.value;
+    m_outgoing.emplace(id, Outgoing{node, std::move(completion), false});
+    Peer &peer = m_peers[node];
+    if (peer.connection && peer.connection->backlog() > BacklogLimit) {
+        boost::asio::post(m_loop.context(), [this, id] {
+            complete(id, PeerCallEnd::NotSent, {});
+        });
+        return id;
+    }
+    if (peer.connection) {
+        m_outgoing[id].sent = true;
+        peer.out[id] = true;
+        peer.connection->send(request);
+        return id;
+    }
+    peer.waiting.emplace(id, std::move(request));
+    if (!peer.connecting) {
+        peer.connecting = true;
+        connect(node);
+    }
+    return id;
+}
+
+void PeerLink::connect(const Endpoint &node)
+{
+    auto connection = std::make_shared<FrameConnection>(Tcp::socket(m_loop.context()), m_settings.maxFrameBytes);
+    const EventLoop::TimerId limit = m_loop.callAfter(m_settings.connectTimeout, [connection] {
+        error_code ignored; // Ends the attempt to connect, which reports the failure.
+        connection->socket().close(ignored);
+    });
+    connection->socket().async_connect(toTcp(node), [this, node, connection, limit](const error_code &error) {
+        m_loop.cancel(limit);
+        if (error || !connection->socket().is_open()) {
+            failPeer(node);
+            return;
+        }
+        onConnected(node, connection);
+    });
+}
+
+void PeerLink::onConnected(const Endpoint &node, const FramePointer &connection)
+{
+    setDeadPeerDetection(connection->socket(), DeadPeerTimeout);
+    Peer &peer = m_peers[node];
+    peer.connection = connection;
+    connection->start({.onFrame =
+                           [this, node](Frame frame) {
+                               onPeerFrame(node, std::move(frame));
+                           },
+                       .onClosed =
+                           [this, node] {
+                               failPeer(node);
+                           }});
+    for (auto &[id, request] : peer.waiting) {
+        m_outgoing[id].sent = true;
+        peer.out[id] = true;
+        connection->send(request);
+    }
+    peer.waiting.clear();
+    watch(node);
+}
+
+/// Finds connections that went silent: probes them while calls are out, and ends them when no answer comes.
+void PeerLink::watch(const Endpoint &node)
+{
+    m_loop.callAfter(m_settings.probeInterval, [this, node] {
+        const auto entry = m_peers.find(node);
+        if (entry == m_peers.end() || !entry->second.connection) {
+            return;
+        }
+        Peer &peer = entry->second;
+        const Duration silence = m_clock.now() - peer.connection->lastHeard();
+        if (!peer.out.empty() && silence > m_settings.silenceTimeout
+            && m_clock.now() - peer.probedAt < m_settings.silenceTimeout) {
+            LinkLog.warning("A node does not answer; its connection is closed.", {{"node", node.text()}});
+            peer.connection->close();
+            return;
+        }
+        if (!peer.out.empty() && silence > m_settings.probeInterval) {
+            peer.probedAt = m_clock.now();
+            peer.connection->send(LinkProbe{.sequence = ++m_lastId, .answer = false});
+        }
+        watch(node);
+    });
+}
+
+void PeerLink::onPeerFrame(const Endpoint &node, Frame frame)
+{
+    auto *reply = std::get_if<CallReply>(&frame);
+    if (!reply) {
+        return;
+    }
+    const OutgoingCallId id{reply->requestId};
+    m_peers[node].out.erase(id);
+    complete(id, PeerCallEnd::Replied, std::move(*reply));
+}
+
+void PeerLink::failPeer(const Endpoint &node)
+{
+    auto peer = m_peers.extract(node);
+    if (peer.empty()) {
+        return;
+    }
+    for (const auto &[id, request] : peer.mapped().waiting) {
+        complete(id, PeerCallEnd::NotSent, {});
+    }
+    for (const auto &[id, unused] : peer.mapped().out) {
+        complete(id, PeerCallEnd::Broken, {});
+    }
+}
+
+void PeerLink::complete(OutgoingCallId call, PeerCallEnd end, CallReply reply)
+{
+    const auto entry = m_outgoing.find(call);
+    if (entry == m_outgoing.end()) {
+        return;
+    }
+    const PeerCompletion completion = std::move(entry->second.completion);
+    m_outgoing.erase(entry);
+    completion(end, std::move(reply));
+}
+
+void PeerLink::cancel(OutgoingCallId call)
+{
+    const auto entry = m_outgoing.find(call);
+    if (entry == m_outgoing.end()) {
+        return;
+    }
+    Peer &peer = m_peers[entry->second.node];
+    m_outgoing.erase(entry);
+    peer.waiting.erase(call);
+    if (peer.out.erase(call) == 1 && peer.connection) {
+        peer.connection->send(CallCancel{call.value});
+    }
+}
+
+void PeerLink::onCallerFrame(const FramePointer &connection, Frame frame)
+{
+    if (auto *request = std::get_if<CallRequest>(&frame)) {
+        const PeerCallId id{++m_lastId};
+        m_incoming.emplace(id, Incoming{connection, request->requestId});
+        m_callers[connection][request->requestId] = id;
+        m_listener.onCall(id, std::move(*request));
+    } else if (const auto *cancel = std::get_if<CallCancel>(&frame)) {
+        const auto call = m_callers[connection].extract(cancel->requestId);
+        if (!call.empty() && m_incoming.erase(call.mapped()) == 1) {
+            m_listener.onCallAbandoned(call.mapped());
+        }
+    } else if (const auto *probe = std::get_if<LinkProbe>(&frame)) {
+        connection->send(LinkProbe{.sequence = probe->sequence, .answer = true});
+    }
+}
+
+void PeerLink::abandonCalls(const FramePointer &connection)
+{
+    const auto calls = m_callers.extract(connection);
+    if (calls.empty()) {
+        return;
+    }
+    for (const auto &[requestId, id] : calls.mapped()) {
+        if (m_incoming.erase(id) == 1) {
+            m_listener.onCallAbandoned(id);
+        }
+    }
+}
+
+void PeerLink::reply(PeerCallId call, CallReply reply)
+{
+    const auto entry = m_incoming.find(call);
+    if (entry == m_incoming.end()) {
+        return;
+    }
+    const Incoming incoming = entry->second;
+    m_incoming.erase(entry);
+    m_callers[incoming.connection].erase(incoming.requestId);
+    reply.requestId = incoming.requestId;
+    incoming.connection->send(reply);
+}
+
+} // namespace
+
+std::unique_ptr<IPeerLink> makePeerLink(EventLoop &loop, IPeerListener &listener, const PeerLinkSettings &settings)
+{
+    return std::make_unique<PeerLink>(loop, listener, settings);
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/proxy/internal/fleetcontrol.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "entrance/entranceplan.h"
+#include "fleet/noderegistry.h"
+#include "net/peerlink.h"
+#include "proxy/internal/egressproxy.h"
+
+namespace vanillatack {
+
+/// Exchanges load reports with the other nodes, and sets from them the shares of requests that enter and the parts of
+/// the workspaces' rates.
+class FleetControl final : public INodeRegistryListener
+{
+public:
+    FleetControl(const NodeParts &parts, EgressProxy &egress, IVersionedTable &table);
+
+    /// Starts the registry and the periodic work.
+    void start(IPeerLink &link, std::uint64_t startedAtMs);
+
+    void onReport(const NodeReport &report);
+
+    /// Registers what the instance beside the node can take now. To be called when that may have changed.
+    void publishOwn();
+
+    /// From now on the own instance is registered as not accepting.
+    void leave();
+
+    [[nodiscard]] bool joined() const
+    {
+        return m_registry.loaded();
+    }
+
+private:
+    void onNode(const NodeEntry &entry) override;
+    void onNodeGone(const NodeName &node) override;
+
+    void tick();
+    NodeReport makeReport();
+    void sendReports(const NodeReport &report);
+    void planEntrance();
+    void dealRates();
+    void removeSilentNodes();
+
+    NodeParts m_parts;
+    EgressProxy &m_egress;
+    IPeerLink *m_link = nullptr;
+    NodeRegistry m_registry;
+    std::uint64_t m_startedAtMs = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_leaving = false;
+    TimePoint m_tickedAt;
+    std::map<RouteName, double> m_offered; ///< Requests per second, exponentially weighted.
+    std::map<NodeName, TimePoint> m_heardAt; ///< Last report, or registration.
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -0,0 +1,323 @@
+#include "proxy/internal/ingressproxy.h"
+
+#include "http/http.h"
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+/// Announcements may be late by a whole interval; an instance that is silent for longer is taken for dead.
+constexpr int SilentIntervals = 4;
+/// Part of the time left that new work may spend in the queue. Beyond it the answer would come too late to be of use,
+/// and the caller does better to come back.
+constexpr double NewWorkQueueShare = 0.3;
+/// Taken off the time that the instance is told, so that its own answer arrives before the caller's node gives up.
+constexpr Duration DeadlineMargin = std::chrono::milliseconds(10);
+/// Waited for the instance's answer beyond the time that it was told.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(5);
+constexpr int StatusMisdirected = 421;
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+const std::string *findHeader(const HeaderList &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (sameHeader(key, name)) {
+            return &value;
+        }
+    }
+    return nullptr;
+}
+
+CallReply refusal(RefusalKind kind, RunState runState, Duration retryAfter = Duration{0})
+{
+    CallReply reply;
+    reply.refusal = kind;
+    reply.runState = runState;
+    reply.retryAfter = retryAfter;
+    return reply;
+}
+
+} // namespace
+
+IngressProxy::IngressProxy(EventLoop &loop,
+                           const IClock &clock,
+                           const ProxySettings &settings,
+                           DecisionLog &decisions,
+                           IMetrics &metrics)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_decisions(decisions)
+    , m_metrics(metrics)
+    , m_client(makeHttpClient(loop, {}))
+    , m_instance(settings.service, settings.instance, settings.announceInterval * SilentIntervals)
+{
+}
+
+bool IngressProxy::accepts() const
+{
+    return !m_draining && m_instance.accepts(m_clock.now());
+}
+
+TicketId IngressProxy::offer(CallRequest request, IngressCompletion completion)
+{
+    const TimePoint now = m_clock.now();
+    const TicketId ticket{++m_lastTicket};
+    Call call;
+    call.request = std::move(request);
+    call.completion = std::move(completion);
+    call.deadline = now + call.request.deadlineLeft;
+    const CallRequest &stored = m_calls.emplace(ticket, std::move(call)).first->second.request;
+    const bool rightInstance =
+        m_instance.current() && (stored.instance.empty() || stored.instance == m_instance.current()->id);
+    if (!accepts() || !rightInstance || stored.service != m_settings.service) {
+        refuse(ticket, m_draining ? RefusalKind::Draining : RefusalKind::NoInstance, Duration{0});
+        return ticket;
+    }
+    m_routesSeen[stored.route] = now;
+    GateRequest asked;
+    asked.ticket = ticket;
+    asked.route = stored.route;
+    asked.rank = stored.rank;
+    asked.inProgress = stored.depth > 0;
+    asked.deadline = now + stored.deadlineLeft;
+    asked.maxWait = asked.inProgress ? stored.deadlineLeft
+                                     : std::chrono::duration_cast<Duration>(stored.deadlineLeft * NewWorkQueueShare);
+    const GateDecision decision = m_gate.offer(asked, now);
+    if (decision.outcome == GateOutcome::Start) {
+        start(ticket);
+    } else if (decision.outcome == GateOutcome::Refused) {
+        refuse(ticket, RefusalKind::Overloaded, decision.expectedWait);
+    }
+    return ticket;
+}
+
+void IngressProxy::start(TicketId ticket)
+{
+    Call &call = m_calls.at(ticket);
+    call.started = true;
+    const TimePoint now = m_clock.now();
+    m_callGraph.begin(call.request.route, now);
+    const Duration left = std::max<Duration>(call.deadline - now - DeadlineMargin, std::chrono::milliseconds(1));
+    call.upstream = m_client->send(m_settings.instance,
+                                   upstreamRequest(call, left),
+                                   left + AnswerMargin,
+                                   {.name = m_settings.headers.attemptId, .value = call.request.rootId},
+                                   [this, ticket](ClientResult result) {
+                                       onUpstreamEnd(ticket, std::move(result));
+                                   });
+}
+
+HttpRequest IngressProxy::upstreamRequest(const Call &call, Duration timeLeft) const
+{
+    HttpRequest request;
+    request.method = call.request.method;
+    request.target = call.request.target;
+    request.headers = call.request.headers;
+    request.headers.emplace_back(m_settings.headers.timeLeft, milliseconds(timeLeft));
+    request.headers.emplace_back(m_settings.headers.expectedInstance, m_instance.current()->id);
+    request.body = call.request.body;
+    return request;
+}
+
+void IngressProxy::onUpstreamEnd(TicketId ticket, ClientResult result)
+{
+    const auto entry = m_calls.find(ticket);
+    if (entry == m_calls.end()) {
+        return;
+    }
+    Call &call = entry->second;
+    CallReply reply = judge(call, std::move(result));
+    const bool wholeAnswer = reply.refusal == RefusalKind::None;
+    if (!wholeAnswer) {
+        m_decisions.record("ingress.failed",
+                           {{"id", call.request.rootId},
+                            {"route", call.request.route.value},
+                            {"reason", std::string(RefusalKindNames.name(reply.refusal))},
+                            {"run", std::string(RunStateNames.name(reply.runState))},
+                            {"instance", m_instance.current() ? m_instance.current()->id : ""},
+                            {"running", std::to_string(m_gate.running())}});
+    }
+    const IngressCompletion completion = std::move(call.completion);
+    release(ticket, wholeAnswer);
+    if (completion) {
+        completion(std::move(reply));
+    }
+}
+
+/// Turns what came from the instance into a reply. Only an answer that certainly is the instance's whole answer to
+/// this request counts as one.
+CallReply IngressProxy::judge(const Call &call, ClientResult result)
+{
+    const EdgeHeaders &names = m_settings.headers;
+    if (result.end == ClientEnd::NotSent) {
+        m_instance.markUnreachable();
+        return refusal(RefusalKind::NoInstance, RunState::NotRun);
+    }
+    if (result.end == ClientEnd::TimedOut) {
+        return refusal(RefusalKind::DeadlineExceeded, result.sentAnything ? RunState::Unknown : RunState::NotRun);
+    }
+    if (result.end == ClientEnd::Broken) {
+        return refusal(RefusalKind::UpstreamFailed, RunState::Unknown);
+    }
+    HttpResponse &response = result.response;
+    if (response.status == StatusMisdirected) {
+        m_instance.markUnreachable();
+        return refusal(RefusalKind::NoInstance, RunState::NotRun);
+    }
+    if (findHeader(response.headers, names.notExecuted) != nullptr) {
+        m_gate.recordOverflow(m_clock.now());
+        return refusal(RefusalKind::UpstreamOverloaded, RunState::NotRun);
+    }
+    const std::string *id = findHeader(response.headers, names.attemptId);
+    const bool own = id != nullptr && *id == call.request.rootId;
+    const bool success = response.status < 300;
+    const bool whole = findHeader(response.headers, names.signature) != nullptr
+        && findHeader(response.headers, "Content-Encoding") == nullptr;
+    if (!own || (success && !whole)) {
+        return refusal(RefusalKind::BadUpstreamReply, RunState::Unknown);
+    }
+    CallReply reply;
+    reply.runState = RunState::Ran;
+    reply.status = response.status;
+    for (auto &[name, value] : response.headers) {
+        if (!isHopByHopHeader(name)) {
+            reply.headers.emplace_back(std::move(name), std::move(value));
+        }
+    }
+    reply.body = std::move(response.body);
+    return reply;
+}
+
+void IngressProxy::release(TicketId ticket, bool wholeAnswer)
+{
+    const auto call = m_calls.extract(ticket);
+    const TimePoint now = m_clock.now();
+    if (!call.empty() && call.mapped().started) {
+        m_callGraph.end(call.mapped().request.route, now);
+    }
+    if (!accepts()) {
+        refuseQueued(RefusalKind::NoInstance);
+    }
+    for (const TicketId next : m_gate.finish(ticket, wholeAnswer, now)) {
+        start(next);
+    }
+}
+
+void IngressProxy::refuse(TicketId ticket, RefusalKind kind, Duration retryAfter)
+{
+    const auto call = m_calls.extract(ticket);
+    if (call.empty()) {
+        return;
+    }
+    const CallRequest &request = call.mapped().request;
+    m_metrics.countRefusal(kind, request.depth > 0 ? PriorityClass::Critical : PriorityClass::Interactive);
+    m_decisions.record("ingress.refused",
+                       {{"id", request.rootId},
+                        {"route", request.route.value},
+                        {"reason", std::string(RefusalKindNames.name(kind))},
+                        {"running", std::to_string(m_gate.running())},
+                        {"limit", std::to_string(m_gate.limit(m_clock.now()))},
+                        {"queued", std::to_string(m_gate.queued())},
+                        {"wait_ms", milliseconds(retryAfter)},
+                        {"left_ms", milliseconds(request.deadlineLeft)}});
+    if (call.mapped().completion) {
+        call.mapped().completion(refusal(kind, RunState::NotRun, retryAfter));
+    }
+}
+
+void IngressProxy::refuseQueued(RefusalKind kind)
+{
+    for (const TicketId ticket : m_gate.clear()) {
+        refuse(ticket, kind, Duration{0});
+    }
+}
+
+void IngressProxy::abandon(TicketId ticket)
+{
+    const auto entry = m_calls.find(ticket);
+    if (entry == m_calls.end()) {
+        return;
+    }
+    Call &call = entry->second;
+    call.completion = nullptr;
+    if (!call.started) {
+        m_gate.withdraw(ticket);
+        m_calls.erase(entry);
+        return;
+    }
+    if (call.request.idempotent) {
+        m_client->cancel(call.upstream);
+        release(ticket, false);
+    }
+}
+
+AnnouncementVerdict IngressProxy::announce(const InstanceAnnouncement &announcement)
+{
+    const bool accepted = accepts();
+    const std::string before = m_instance.current() ? m_instance.current()->id : "";
+    const AnnouncementVerdict verdict = m_instance.announce(announcement, m_clock.now());
+    m_gate.setSlots(m_instance.current() ? m_instance.current()->slots : 0);
+    const bool changed = accepted != accepts() || (m_instance.current() && m_instance.current()->id != before);
+    if (changed || verdict != AnnouncementVerdict::Accepted) {
+        m_decisions.record("instance.announced",
+                           {{"instance", announcement.id},
+                            {"started_ms", std::to_string(announcement.startedAtMs)},
+                            {"sequence", std::to_string(announcement.sequence)},
+                            {"draining", announcement.draining ? "yes" : "no"},
+                            {"verdict", std::string(AnnouncementVerdictNames.name(verdict))},
+                            {"accepts", accepts() ? "yes" : "no"}});
+    }
+    if (m_instance.current() && m_instance.current()->id != before) {
+        m_client->forget(m_settings.instance);
+    }
+    if (!accepts()) {
+        refuseQueued(RefusalKind::NoInstance);
+    }
+    return verdict;
+}
+
+AnnouncementVerdict IngressProxy::withdraw(const std::string &id, std::uint64_t startedAtMs)
+{
+    const AnnouncementVerdict verdict = m_instance.withdraw(id, startedAtMs);
+    m_decisions.record("instance.withdrawn",
+                       {{"instance", id},
+                        {"started_ms", std::to_string(startedAtMs)},
+                        {"verdict", std::string(AnnouncementVerdictNames.name(verdict))}});
+    if (!accepts()) {
+        refuseQueued(RefusalKind::NoInstance);
+    }
+    return verdict;
+}
+
+void IngressProxy::startDraining()
+{
+    m_draining = true;
+}
+
+void IngressProxy::expireQueue()
+{
+    for (const TicketId ticket : m_gate.expire(m_clock.now())) {
+        refuse(ticket, RefusalKind::Overloaded, Duration{0});
+    }
+}
+
+std::vector<RouteLoad> IngressProxy::loads() const
+{
+    std::vector<RouteLoad> loads;
+    for (const auto &[route, seen] : m_routesSeen) {
+        const Duration work = m_gate.workTime(route);
+        if (work > Duration{0}) {
+            loads.push_back({route, 0, std::chrono::duration<double>(work).count()});
+        }
+    }
+    return loads;
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/proxy/internal/trafficnode.cpp
@@ -0,0 +1,244 @@
+#include "proxy/trafficnode.h"
+
+#include "attempts/attemptssetup.h"
+#include "base/log.h"
+#include "proxy/internal/fleetcontrol.h"
+
+#include <algorithm>
+
+namespace vanillatack {
+
+namespace {
+
+/// Callers are sent elsewhere after two readiness checks that fail, which come each second.
+constexpr Duration CallersLeave = std::chrono::milliseconds(2600);
+/// Other nodes learn within this time that the node takes no more calls.
+constexpr Duration CallsLeave = std::chrono::milliseconds(800);
+/// Left of the grace time when the process ends in any case.
+constexpr Duration EndMargin = std::chrono::milliseconds(350);
+/// Part of the grace time after which new requests are refused, so that those that run can end.
+constexpr double TakeRequestsShare = 0.6;
+constexpr Duration ShutdownPoll = std::chrono::milliseconds(50);
+/// How often queued calls are checked for the end of their wait.
+constexpr Duration QueuePoll = std::chrono::milliseconds(20);
+
+class TrafficNode final : public ITrafficNode, private IPeerListener
+{
+public:
+    TrafficNode(EventLoop &loop,
+                const IClock &clock,
+                IRandom &random,
+                IVersionedTable &table,
+                IMetrics &metrics,
+                const ProxySettings &settings)
+        : m_loop(loop)
+        , m_clock(clock)
+        , m_settings(settings)
+        , m_decisions(clock, settings.node.value)
+        , m_ingress(loop, clock, m_settings, m_decisions, metrics)
+        , m_directory(settings.zone)
+        , m_rates(settings.node)
+        , m_retries(makeRetryBudget(clock, settings.freeRetries))
+        , m_egress(parts(random, metrics))
+        , m_control(parts(random, metrics), m_egress, table)
+        , m_server(makeHttpServer(loop, m_egress))
+        , m_link(makePeerLink(loop, *this, {}))
+    {
+        m_retries->setRatioPercent(settings.retryPercent);
+        m_egress.connect(*m_server, *m_link);
+    }
+
+    Result<void> start() override;
+    void applyConfig(TrafficConfig config) override;
+    void confirmConfig(Duration storeClock, Duration sent, Duration received) override;
+    void recordStoreReachable(bool reachable, const std::string &reason) override;
+    AnnouncementVerdict announce(const InstanceAnnouncement &announcement) override;
+    AnnouncementVerdict withdraw(const std::string &instance, std::uint64_t startedAtMs) override;
+    [[nodiscard]] bool isReady() const override;
+    void shutDown(std::function<void()> done) override;
+
+private:
+    NodeParts parts(IRandom &random, IMetrics &metrics)
+    {
+        return {m_loop,
+                m_clock,
+                random,
+                m_settings,
+                m_decisions,
+                metrics,
+                m_directory,
+                m_rates,
+                m_shedder,
+                *m_retries,
+                m_ingress};
+    }
+
+    void onCall(PeerCallId call, CallRequest request) override;
+    void onCallAbandoned(PeerCallId call) override;
+    void onReport(const NodeReport &report) override;
+
+    void pollQueue();
+    void pollShutdown();
+
+    EventLoop &m_loop;
+    const IClock &m_clock;
+    ProxySettings m_settings;
+    DecisionLog m_decisions;
+    IngressProxy m_ingress;
+    NodeDirectory m_directory;
+    WorkspaceRates m_rates;
+    EntranceShedder m_shedder;
+    std::unique_ptr<IRetryBudget> m_retries;
+    EgressProxy m_egress;
+    FleetControl m_control;
+    std::unique_ptr<IHttpServer> m_server;
+    std::unique_ptr<IPeerLink> m_link;
+    std::map<PeerCallId, TicketId> m_calls;
+    std::function<void()> m_stopped; ///< Set while shutting down.
+    TimePoint m_stoppingSince;
+};
+
+Result<void> TrafficNode::start()
+{
+    if (Result<void> opened = m_server->listen(m_settings.callers); !opened) {
+        return opened;
+    }
+    if (Result<void> opened = m_link->listen(m_settings.peers); !opened) {
+        return opened;
+    }
+    const auto startedAt = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch());
+    m_decisions.record("node.start",
+                       {{"zone", m_settings.zone.value},
+                        {"service", m_settings.service.value},
+                        {"started_ms", std::to_string(startedAt.count())}});
+    m_control.start(*m_link, static_cast<std::uint64_t>(startedAt.count()));
+    pollQueue();
+    return success();
+}
+
+void TrafficNode::applyConfig(TrafficConfig config)
+{
+    if (config.version <= m_egress.table().config().version) {
+        return;
+    }
+    m_decisions.record("config.applied",
+                       {{"config", std::to_string(config.version)},
+                        {"before", std::to_string(m_egress.table().config().version)},
+                        {"hosts", std::to_string(config.hosts.size())},
+                        {"workspaces", std::to_string(config.workspaces.size())}});
+    m_egress.setTable(RouteTable(std::move(config)));
+}
+
+void TrafficNode::confirmConfig(Duration storeClock, Duration sent, Duration received)
+{
+    m_egress.freshness().confirm(storeClock, sent, received);
+}
+
+void TrafficNode::recordStoreReachable(bool reachable, const std::string &reason)
+{
+    m_decisions.record(reachable ? "store.regained" : "store.lost", {{"reason", reason}});
+}
+
+AnnouncementVerdict TrafficNode::announce(const InstanceAnnouncement &announcement)
+{
+    const AnnouncementVerdict verdict = m_ingress.announce(announcement);
+    m_control.publishOwn();
+    return verdict;
+}
+
+AnnouncementVerdict TrafficNode::withdraw(const std::string &instance, std::uint64_t startedAtMs)
+{
+    const AnnouncementVerdict verdict = m_ingress.withdraw(instance, startedAtMs);
+    m_control.publishOwn();
+    return verdict;
+}
+
+bool TrafficNode::isReady() const
+{
+    return !m_stopped && m_egress.table().config().version > 0 && m_control.joined();
+}
+
+void TrafficNode::onCall(PeerCallId call, CallRequest request)
+{
+    const auto pending = std::make_shared<bool>(true);
+    const TicketId ticket = m_ingress.offer(std::move(request), [this, call, pending](CallReply reply) {
+        *pending = false;
+        m_calls.erase(call);
+        m_link->reply(call, std::move(reply));
+    });
+    if (*pending) {
+        m_calls[call] = ticket;
+    }
+}
+
+void TrafficNode::onCallAbandoned(PeerCallId call)
+{
+    const auto entry = m_calls.extract(call);
+    if (!entry.empty()) {
+        m_ingress.abandon(entry.mapped());
+    }
+}
+
+void TrafficNode::onReport(const NodeReport &report)
+{
+    m_control.onReport(report);
+}
+
+void TrafficNode::pollQueue()
+{
+    if (m_ingress.gate().queued() > 0) {
+        m_ingress.expireQueue();
+    }
+    m_loop.callAfter(QueuePoll, [this] {
+        pollQueue();
+    });
+}
+
+void TrafficNode::shutDown(std::function<void()> done)
+{
+    if (m_stopped) {
+        return;
+    }
+    m_decisions.record(
+        "node.stopping",
+        {{"requests", std::to_string(m_egress.inProgress())}, {"calls", std::to_string(m_ingress.inProgress())}});
+    m_stopped = std::move(done);
+    m_stoppingSince = m_clock.now();
+    m_server->startDraining();
+    m_control.leave();
+    pollShutdown();
+}
+
+void TrafficNode::pollShutdown()
+{
+    const Duration since = m_clock.now() - m_stoppingSince;
+    if (since > CallsLeave) {
+        m_ingress.startDraining();
+    }
+    if (since > m_settings.shutdownGrace * TakeRequestsShare) {
+        m_egress.refuseNew();
+    }
+    const bool finished = since > CallersLeave && m_egress.inProgress() == 0 && m_ingress.inProgress() == 0;
+    if (finished || since > m_settings.shutdownGrace - EndMargin) {
+        m_decisions.record("node.stop", {{"requests", std::to_string(m_egress.inProgress())}});
+        m_stopped();
+        return;
+    }
+    m_loop.callAfter(ShutdownPoll, [this] {
+        pollShutdown();
+    });
+}
+
+} // namespace
+
+std::unique_ptr<ITrafficNode> makeTrafficNode(EventLoop &loop,
+                                              const IClock &clock,
+                                              IRandom &random,
+                                              IVersionedTable &table,
+                                              IMetrics &metrics,
+                                              const ProxySettings &settings)
+{
+    return std::make_unique<TrafficNode>(loop, clock, random, table, metrics, settings);
+}
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/proxy/proxysettings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/clock.h"
+#include "model/ids.h"
+
+#include <string>
+
+namespace vanillatack {
+
+/// Names of the headers that carry what callers, nodes and instances tell each other about a request.
+struct EdgeHeaders {
+    std::string attemptId; ///< Id of one attempt of a caller; instances repeat it in their answers.
+    std::string timeLeft; ///< Milliseconds that the caller, or the node, still waits.
+    std::string key; ///< The caller's credential; never passed on.
+    std::string workspace; ///< Tells the instance whose key came with the request.
+    std::string callerService; ///< Tells the instance on which service's VM the request entered.
+    std::string expectedInstance; ///< Any other instance refuses the request.
+    std::string notExecuted; ///< Set by an instance that has not run the request.
+    std::string signature; ///< Set by an instance on answers of its own.
+};
+
+/// Settings of one node.
+struct ProxySettings {
+    NodeName node;
+    ZoneName zone;
+    ServiceName service; ///< Of the instance beside the node.
+    Endpoint callers; ///< Where callers and the own instance send requests.
+    Endpoint peers; ///< Where other nodes send calls and reports.
+    Endpoint instance;
+    EdgeHeaders headers;
+    Duration announceInterval = std::chrono::milliseconds(1500); ///< Of the instance.
+    Duration keyGrace = std::chrono::seconds(4); ///< Longest age of a confirmed configuration for accepting keys.
+    Duration shutdownGrace = std::chrono::seconds(6); ///< Between the signal to stop and being killed.
+    int retryPercent = 20; ///< Repeated attempts that the fleet may make for 100 requests to a service.
+    int freeRetries = 0; ///< Further repeated attempts of the fleet, in ten seconds.
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/routes/internal/routetable.cpp
@@ -0,0 +1,67 @@
+#include "routes/routetable.h"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+
+namespace vanillatack {
+
+RouteTable::RouteTable(TrafficConfig config)
+    : m_config(std::move(config))
+{
+    for (HostRoutes &host : m_config.hosts) {
+        std::stable_sort(host.routes.begin(), host.routes.end(), [](const TrafficRoute &a, const TrafficRoute &b) {
+            return a.prefix.size() > b.prefix.size();
+        });
+        m_hosts[host.host] = &host;
+    }
+    for (const WorkspaceGrant &workspace : m_config.workspaces) {
+        for (const std::string &key : workspace.keys) {
+            m_keys[key] = &workspace;
+        }
+    }
+}
+
+const TrafficRoute *RouteTable::find(std::string_view host, std::string_view target) const
+{
+    const std::string name = absl::AsciiStrToLower(std::string(host.substr(0, host.find(':'))));
+    const auto entry = m_hosts.find(name);
+    if (entry == m_hosts.end()) {
+        return nullptr;
+    }
+    const std::string_view path = target.substr(0, target.find_first_of("?#"));
+    for (const TrafficRoute &route : entry->second->routes) {
+        if (path.starts_with(route.prefix)) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+const WorkspaceGrant *RouteTable::workspaceOf(std::string_view key) const
+{
+    const auto entry = m_keys.find(std::string(key));
+    return entry == m_keys.end() ? nullptr : entry->second;
+}
+
+ServiceName RouteTable::nextService(const TrafficRoute &route)
+{
+    if (route.services.size() == 1) {
+        return route.services.front().service;
+    }
+    std::vector<int> &credits = m_splitCredits[route.name];
+    credits.resize(route.services.size());
+    int total = 0;
+    std::size_t best = 0;
+    for (std::size_t index = 0; index < credits.size(); ++index) {
+        credits[index] += route.services[index].weight;
+        total += route.services[index].weight;
+        if (credits[index] > credits[best]) {
+            best = index;
+        }
+    }
+    credits[best] -= total;
+    return route.services[best].service;
+}
+
+} // namespace vanillatack
--- a/src/transport/upstreamclient.h
+++ b/src/transport/upstreamclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/error.h"
-#include "transport/http.h"
+#include "http/http.h"
 #include "transport/socket.h"
 
 #include <memory>
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -31,8 +31,20 @@
     ControlMessage message;
 };
 
+/// The sender no longer waits for the reply of a call.
+struct CallCancel {
+    std::uint64_t requestId = 0;
+};
+
+/// Checks that the other end of a connection is alive; it is answered with the same sequence.
+struct LinkProbe {
+    std::uint64_t sequence = 0;
+    bool answer = false;
+};
+
 /// Everything that is sent between nodes.
-using Frame = std::variant<Hello, Challenge, Proof, CallRequest, CallReply, ControlFrame>;
+using Frame =
+    std::variant<Hello, Challenge, Proof, CallRequest, CallReply, ControlFrame, CallCancel, LinkProbe, NodeReport>;
 
 /// Encodes a frame in the Cap'n Proto stream format (a whole number of 8-byte words).
 std::string encodeFrame(const Frame &frame);
--- a/src/wire/internal/callcodec.cpp
+++ b/src/wire/internal/callcodec.cpp
@@ -58,6 +58,8 @@
     out.setTarget(in.target);
     writeHeaders(out.initHeaders(in.headers.size()), in.headers);
     out.setBody(toData(in.body));
+    out.setRank(static_cast<std::uint8_t>(in.rank));
+    out.setInstance(in.instance);
 }
 
 CallRequest readCallRequest(schema::CallRequest::Reader in)
@@ -78,6 +80,8 @@
     out.target = toString(in.getTarget());
     out.headers = readHeaders(in.getHeaders());
     out.body = toString(in.getBody());
+    out.rank = in.getRank();
+    out.instance = toString(in.getInstance());
     return out;
 }
 
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/internal/callcodec.h"
 #include "wire/internal/controlcodec.h"
+#include "wire/internal/reportcodec.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -47,6 +48,23 @@
     write(out.initControl(), in);
 }
 
+void writeContent(schema::Frame::Builder out, const CallCancel &in)
+{
+    out.initCallCancel().setRequestId(in.requestId);
+}
+
+void writeContent(schema::Frame::Builder out, const LinkProbe &in)
+{
+    auto probe = out.initLinkProbe();
+    probe.setSequence(in.sequence);
+    probe.setAnswer(in.answer);
+}
+
+void writeContent(schema::Frame::Builder out, const NodeReport &in)
+{
+    write(out.initNodeReport(), in);
+}
+
 Frame readFrame(schema::Frame::Reader in)
 {
     switch (in.which()) {
@@ -62,6 +80,12 @@
         return readCallReply(in.getCallReply());
     case schema::Frame::CONTROL:
         return readControl(in.getControl());
+    case schema::Frame::CALL_CANCEL:
+        return CallCancel{in.getCallCancel().getRequestId()};
+    case schema::Frame::LINK_PROBE:
+        return LinkProbe{in.getLinkProbe().getSequence(), in.getLinkProbe().getAnswer()};
+    case schema::Frame::NODE_REPORT:
+        return readNodeReport(in.getNodeReport());
     }
     throw DecodeFailure("unknown kind of frame");
 }
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -31,6 +31,8 @@
   target @12 :Text;
   headers @13 :List(Header);
   body @14 :Data;
+  rank @15 :UInt8;
+  instance @16 :Text;
 }
 
 struct CallReply {
@@ -202,6 +204,45 @@
   }
 }
 
+struct CallCancel {
+  requestId @0 :UInt64;
+}
+
+struct LinkProbe {
+  sequence @0 :UInt64;
+  answer @1 :Bool;
+}
+
+struct RouteLoad {
+  route @0 :Text;
+  offeredPerSecond @1 :Float32;
+  workSeconds @2 :Float32;
+}
+
+struct CallEdge {
+  caller @0 :Text;
+  callee @1 :Text;
+  callsPerRequest @2 :Float32;
+}
+
+struct WorkspaceDemand {
+  workspace @0 :Text;
+  perSecond @1 :Float32;
+}
+
+struct NodeReport {
+  node @0 :Text;
+  startedAtMs @1 :UInt64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  slots @4 :Int32;
+  running @5 :Int32;
+  queued @6 :Int32;
+  loads @7 :List(RouteLoad);
+  edges @8 :List(CallEdge);
+  demands @9 :List(WorkspaceDemand);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -210,5 +251,8 @@
     callRequest @3 :CallRequest;
     callReply @4 :CallReply;
     control @5 :Control;
+    callCancel @6 :CallCancel;
+    linkProbe @7 :LinkProbe;
+    nodeReport @8 :NodeReport;
   }
 }
