Test the edge, the adapter and the decision modules of the traffic node

Workspaces: idle nodes together keep 5% of a rate; 2% each took a quarter of it at 14 nodes, which a test with all demand on one node showed first.

--- a/src/entrance/internal/workspacerates.cpp
+++ b/src/entrance/internal/workspacerates.cpp
@@ -10,9 +10,9 @@
 
 /// Part of the burst that is dealt out. The rest covers parts that nodes change at slightly different moments.
 constexpr double DealtBurst = 0.5;
-/// Demand that each node counts with at least, as a share of the rate. A node without demand so far can serve the
-/// first requests that come.
-constexpr double LeastDemand = 0.02;
+/// Part of the rate that all nodes together keep for nodes without demand so far, so that these can serve the first
+/// requests that come.
+constexpr double KeptForIdleNodes = 0.05;
 /// Time over which demand is averaged. Short, since demand moves within seconds when callers change zones.
 constexpr double DemandSeconds = 1.0;
 
@@ -101,7 +101,7 @@
     const double nodes = static_cast<double>(others.size()) + 1;
     for (auto &[workspace, account] : m_accounts) {
         fill(account, now);
-        const double least = account.limit.ratePerSecond * LeastDemand;
+        const double least = account.limit.ratePerSecond * KeptForIdleNodes / nodes;
         const double own = account.demand + least;
         const double total = own + otherDemand[workspace] + least * (nodes - 1);
         const double wanted = total > 0 ? own / total : 1 / nodes;
--- /dev/null
+++ b/src/entrance/tests/entrance_tests.cpp
@@ -0,0 +1,321 @@
+#include "entrance/callgraph.h"
+#include "entrance/entranceplan.h"
+#include "entrance/entranceshedder.h"
+#include "entrance/workspacerates.h"
+
+#include <deque>
+#include <functional>
+#include <queue>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start(1000s);
+const RouteName Lookup("lookup");
+const RouteName Issue("issue");
+const RouteName File("file");
+const RouteName Audit("audit");
+const RouteName Check("check");
+const ServiceName Archive("archive");
+
+double edge(const std::vector<CallEdge> &edges, const RouteName &caller, const RouteName &callee)
+{
+    for (const CallEdge &item : edges) {
+        if (item.caller == caller && item.callee == callee) {
+            return item.callsPerRequest;
+        }
+    }
+    return 0;
+}
+
+EntranceRoute entrance(const RouteName &route, int rank, double perSecond, double archiveSeconds)
+{
+    EntranceRoute result{.route = route, .rank = rank, .offeredPerSecond = perSecond, .slotSeconds = {}};
+    if (archiveSeconds > 0) {
+        result.slotSeconds[Archive] = archiveSeconds;
+    }
+    return result;
+}
+
+NodeReport reportOf(const std::string &node, const ServiceName &service)
+{
+    NodeReport report;
+    report.node = NodeName(node);
+    report.service = service;
+    return report;
+}
+
+double needed(const std::vector<EntranceRoute> &routes, const std::map<RouteName, double> &shares)
+{
+    double sum = 0;
+    for (const EntranceRoute &route : routes) {
+        const auto cost = route.slotSeconds.find(Archive);
+        sum += cost == route.slotSeconds.end() ? 0 : cost->second * route.offeredPerSecond * shares.at(route.route);
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_GROUP(CallGraph){};
+
+TEST(CallGraph, tellsWhichOfTwoOverlappingRoutesMakesTheCalls)
+{
+    // Two routes share an instance: lookup makes two calls each, file makes none. Their requests overlap all the time.
+    struct Event {
+        Duration at;
+        int kind; // 0 begin, 1 end, 2 call
+        RouteName route;
+        bool operator<(const Event &other) const
+        {
+            return at > other.at;
+        }
+    };
+    SeededRandom random(7);
+    std::priority_queue<Event> events;
+    for (int i = 0; i < 3000; ++i) {
+        const RouteName route = i % 2 == 0 ? Lookup : File;
+        const Duration at = std::chrono::microseconds(random.below(20'000'000));
+        const Duration work = std::chrono::microseconds(40'000 + random.below(80'000));
+        events.push({at, 0, route});
+        events.push({at + work, 1, route});
+        for (int call = 0; call < (route == Lookup ? 2 : 0); ++call) {
+            events.push({at + work / 3, 2, Check});
+        }
+    }
+    CallGraph graph;
+    while (!events.empty()) {
+        const Event event = events.top();
+        events.pop();
+        const TimePoint now = Start + event.at;
+        event.kind == 0       ? graph.begin(event.route, now)
+            : event.kind == 1 ? graph.end(event.route, now)
+                              : graph.recordCall(event.route, now);
+    }
+    CHECK(edge(graph.edges(), Lookup, Check) > 1.6);
+    CHECK(edge(graph.edges(), Lookup, Check) < 2.4);
+    CHECK(edge(graph.edges(), File, Check) < 0.4);
+}
+
+TEST_GROUP(RequestCost){};
+
+TEST(RequestCost, addsUpCallsOfCalls)
+{
+    RequestCost cost;
+    cost.setRoute(Lookup, {{ServiceName("desk"), 1.0}});
+    cost.setRoute(Check, {{ServiceName("house"), 1.0}});
+    cost.setRoute(Audit, {{Archive, 1.0}});
+    NodeReport desk = reportOf("d", ServiceName("desk"));
+    desk.loads = {{Lookup, 0, 0.09}};
+    desk.edges = {{Lookup, Check, 2}};
+    NodeReport house = reportOf("h", ServiceName("house"));
+    house.loads = {{Check, 0, 0.015}};
+    house.edges = {{Check, Audit, 4}};
+    NodeReport archive = reportOf("a", Archive);
+    archive.loads = {{Audit, 0, 0.022}};
+    for (const NodeReport &report : {desk, house, archive}) {
+        cost.addReport(report);
+    }
+    const auto seconds = cost.slotSeconds(Lookup);
+    DOUBLES_EQUAL(0.09, seconds.at(ServiceName("desk")), 1e-9);
+    DOUBLES_EQUAL(0.03, seconds.at(ServiceName("house")), 1e-9);
+    DOUBLES_EQUAL(0.176, seconds.at(Archive), 1e-9);
+}
+
+TEST(RequestCost, aLoopOfCallsEnds)
+{
+    RequestCost cost;
+    cost.setRoute(Lookup, {{Archive, 1.0}});
+    NodeReport report = reportOf("a", Archive);
+    report.loads = {{Lookup, 0, 0.01}};
+    report.edges = {{Lookup, Lookup, 0.5}};
+    cost.addReport(report);
+    DOUBLES_EQUAL(0.02, cost.slotSeconds(Lookup).at(Archive), 1e-6);
+}
+
+/// The load of a surge over a deep service: all kinds of request but one need the archive, which has 204 slots.
+TEST_GROUP(EntrancePlan)
+{
+    std::map<ServiceName, double> slots{{Archive, 204}};
+    EntrancePlanSettings settings;
+
+    static std::vector<EntranceRoute> surge(double times)
+    {
+        return {entrance(Lookup, 2, 406 * times, 0.176),
+                entrance(Issue, 0, 151 * times, 0.176),
+                entrance(File, 0, 141 * times, 0),
+                entrance(Audit, 2, 113 * times, 0.36)};
+    }
+};
+
+TEST(EntrancePlan, admitsAllThatFits)
+{
+    for (const auto &[route, share] : planEntrance(surge(1), slots, settings)) {
+        DOUBLES_EQUAL(1.0, share, 1e-9);
+    }
+}
+
+TEST(EntrancePlan, surgeIsCutToWhatTheDeepServiceFinishes)
+{
+    const auto routes = surge(2.3);
+    const auto shares = planEntrance(routes, slots, settings);
+    CHECK(needed(routes, shares) <= 204 * settings.usableShare + 1e-6);
+    CHECK(needed(routes, shares) >= 204 * settings.usableShare * 0.99);
+    DOUBLES_EQUAL(1.0, shares.at(Issue), 1e-9);
+    DOUBLES_EQUAL(1.0, shares.at(File), 1e-9);
+    // Among equals the one that needs less of the archive, so that more requests are answered whole.
+    CHECK(shares.at(Lookup) > shares.at(Audit));
+    CHECK(shares.at(Audit) >= settings.leastShare);
+}
+
+TEST(EntrancePlan, noKindStarvesBehindMoreImportantOnes)
+{
+    const auto shares = planEntrance(surge(4.5), slots, settings);
+    CHECK(shares.at(Audit) > 0.1);
+    CHECK(shares.at(Issue) > shares.at(Lookup));
+}
+
+TEST_GROUP(EntranceShedder){};
+
+TEST(EntranceShedder, admitsTheShareForEachWorkspace)
+{
+    EntranceShedder shedder;
+    shedder.setShares({{Lookup, 0.3}});
+    int small = 0;
+    int large = 0;
+    for (int i = 0; i < 1000; ++i) {
+        large += shedder.admit(Lookup, WorkspaceName("large")) ? 1 : 0;
+        small += i % 10 == 0 && shedder.admit(Lookup, WorkspaceName("small")) ? 1 : 0;
+    }
+    LONGS_EQUAL(300, large);
+    LONGS_EQUAL(30, small);
+    CHECK(shedder.admit(File, WorkspaceName("large")));
+}
+
+TEST(EntranceShedder, returningCallersAreSpread)
+{
+    SeededRandom random(1);
+    for (int i = 0; i < 100; ++i) {
+        const Duration wait = retryAfter(3s, 500ms, random);
+        CHECK(wait >= 500ms);
+        CHECK(wait <= 1s);
+    }
+}
+
+/// Nodes of one fleet that exchange demands. Checks what all of them admit together.
+TEST_GROUP(WorkspaceRates)
+{
+    static constexpr int Nodes = 14;
+    const WorkspaceName Acme{"acme"};
+    std::vector<WorkspaceRates> rates;
+    std::vector<NodeName> names;
+    std::vector<NodeReport> reports;
+    std::deque<std::pair<TimePoint, int>> admitted;
+    TimePoint now = Start;
+
+    void setup() override
+    {
+        for (int i = 0; i < Nodes; ++i) {
+            names.emplace_back("n" + std::to_string(i));
+            rates.emplace_back(names.back());
+            rates.back().setLimits({{Acme, {.ratePerSecond = 300, .burst = 300}}});
+        }
+        reports.resize(Nodes);
+    }
+
+    /// Runs a quarter of a second: each node gets the given requests per second; nodes of one side hear each other.
+    int step(const std::vector<double> &perSecond, const std::function<int(int)> &side)
+    {
+        int sum = 0;
+        for (int i = 0; i < Nodes; ++i) {
+            reports[i] = reportOf(names[i].value, Archive);
+            reports[i].demands = rates[i].demands(now);
+        }
+        for (int i = 0; i < Nodes; ++i) {
+            std::vector<NodeReport> heard;
+            for (int other = 0; other < Nodes; ++other) {
+                if (side(other) == side(i)) {
+                    heard.push_back(reports[other]);
+                }
+            }
+            rates[i].rebalance(names, heard, now);
+        }
+        for (int tick = 0; tick < 25; ++tick) {
+            now += 10ms;
+            for (int i = 0; i < Nodes; ++i) {
+                m_carry[i] += perSecond[i] / 100;
+                for (; m_carry[i] >= 1; m_carry[i] -= 1) {
+                    sum += rates[i].tryTake(Acme, now) ? 1 : 0;
+                }
+            }
+        }
+        return sum;
+    }
+
+    std::vector<double> m_carry = std::vector<double>(Nodes, 0);
+};
+
+TEST(WorkspaceRates, oneNodeWithAllTheDemandGetsTheRate)
+{
+    std::vector<double> demand(Nodes, 0);
+    demand[3] = 280;
+    int served = 0;
+    for (int i = 0; i < 40; ++i) {
+        const int count = step(demand, [](int) {
+            return 0;
+        });
+        served += i >= 12 ? count : 0;
+    }
+    // At most one request in a thousand is refused inside the rate.
+    CHECK(served >= 0.999 * 280 * 7);
+}
+
+TEST(WorkspaceRates, floodStaysInsideTheBoundInEveryFiveSeconds)
+{
+    // A workspace sends eight times its rate, from other nodes every second.
+    SeededRandom random(5);
+    std::deque<int> window;
+    for (int i = 0; i < 240; ++i) {
+        std::vector<double> demand(Nodes, 0);
+        for (int burst = 0; burst < 3; ++burst) {
+            demand[(i / 4 * 5 + burst * 3) % Nodes] += 800;
+        }
+        window.push_back(step(demand, [](int) {
+            return 0;
+        }));
+        if (window.size() > 20) {
+            window.pop_front();
+        }
+        int sum = 0;
+        for (const int count : window) {
+            sum += count;
+        }
+        CHECK(sum <= (300 * 5 + 300) * 1.1 + 20);
+    }
+}
+
+TEST(WorkspaceRates, bothSidesOfACutStayInsideTheBoundTogether)
+{
+    std::deque<int> window;
+    std::vector<double> demand(Nodes, 25);
+    for (int i = 0; i < 80; ++i) {
+        if (i == 30) {
+            demand.assign(Nodes, 170);
+        }
+        window.push_back(step(demand, [i](int node) {
+            return i >= 20 ? node % 3 : 0;
+        }));
+        if (window.size() > 20) {
+            window.pop_front();
+        }
+        int sum = 0;
+        for (const int count : window) {
+            sum += count;
+        }
+        CHECK(sum <= (300 * 5 + 300) * 1.1 + 20);
+    }
+}
--- /dev/null
+++ b/src/fleet/tests/faketable.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "fleet/iversionedtable.h"
+
+#include <deque>
+#include <map>
+
+namespace vanillatack {
+
+/// A table service whose calls are answered, refused or lost when the test says so.
+class FakeTable final : public IVersionedTable
+{
+public:
+    struct Call {
+        std::string kind; ///< "read", "watch" or "write".
+        std::string from;
+        std::uint64_t after = 0;
+        ConditionalWrite write;
+        TableCompletion completion;
+    };
+
+    void read(const std::string & /*table*/, const std::string &fromKey, TableCompletion completion) override
+    {
+        calls.push_back({"read", fromKey, 0, {}, std::move(completion)});
+    }
+
+    void watch(const std::string & /*table*/,
+               std::uint64_t afterVersion,
+               Duration /*wait*/,
+               TableCompletion completion) override
+    {
+        calls.push_back({"watch", {}, afterVersion, {}, std::move(completion)});
+    }
+
+    void write(const ConditionalWrite &write, TableCompletion completion) override
+    {
+        calls.push_back({"write", {}, 0, write, std::move(completion)});
+    }
+
+    /// Changes a row as its writer, or another one.
+    void put(const std::string &key, const std::string &value)
+    {
+        rows[key] = {key, value, ++version, false};
+        history.push_back(rows[key]);
+    }
+
+    void drop(const std::string &key)
+    {
+        rows.erase(key);
+        history.push_back({key, {}, ++version, true});
+    }
+
+    /// Answers the oldest call as the service would.
+    void answer()
+    {
+        Call call = take();
+        TableAnswer result;
+        result.end = TableEnd::Done;
+        if (call.kind == "read") {
+            for (const auto &[key, row] : rows) {
+                if (key >= call.from && result.rows.size() < pageSize) {
+                    result.rows.push_back(row);
+                } else if (key >= call.from) {
+                    result.hasMore = true;
+                }
+            }
+        } else if (call.kind == "watch") {
+            for (const VersionedRow &row : history) {
+                if (row.version > call.after) {
+                    result.rows.push_back(row);
+                }
+            }
+        } else {
+            applyWrite(call.write, result);
+        }
+        result.version = version;
+        call.completion(result);
+    }
+
+    /// Ends the oldest call in the given way; a write whose answer is lost is done all the same when asked for.
+    void end(TableEnd how, bool writeAnyway = false)
+    {
+        Call call = take();
+        TableAnswer ignored;
+        if (writeAnyway) {
+            applyWrite(call.write, ignored);
+        }
+        TableAnswer result;
+        result.end = how;
+        call.completion(result);
+    }
+
+    std::deque<Call> calls;
+    std::map<std::string, VersionedRow> rows;
+    std::vector<VersionedRow> history;
+    std::uint64_t version = 0;
+    std::size_t pageSize = 100;
+
+private:
+    Call take()
+    {
+        Call call = std::move(calls.front());
+        calls.pop_front();
+        return call;
+    }
+
+    void applyWrite(const ConditionalWrite &write, TableAnswer &result)
+    {
+        const auto row = rows.find(write.key);
+        const std::uint64_t current = row == rows.end() ? 0 : row->second.version;
+        if (current != write.expectedVersion) {
+            result.end = TableEnd::Conflict;
+            if (row != rows.end()) {
+                result.rows.push_back(row->second);
+            }
+        } else if (write.value) {
+            put(write.key, *write.value);
+        } else {
+            drop(write.key);
+        }
+    }
+};
+
+/// Delayed calls of a test, run when it says so.
+class FakeDelays
+{
+public:
+    DelayedCall function()
+    {
+        return [this](Duration, std::function<void()> call) {
+            m_calls.push_back(std::move(call));
+        };
+    }
+
+    void runAll()
+    {
+        auto calls = std::exchange(m_calls, {});
+        for (const auto &call : calls) {
+            call();
+        }
+    }
+
+private:
+    std::vector<std::function<void()>> m_calls;
+};
+
+} // namespace vanillatack
--- /dev/null
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -0,0 +1,330 @@
+#include "fleet/nodedirectory.h"
+#include "fleet/nodeentrycodec.h"
+#include "fleet/noderegistry.h"
+#include "fleet/tests/faketable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start(1000s);
+const ServiceName Parts("osat");
+
+NodeEntry entry(const std::string &node, const std::string &zone, bool accepting = true)
+{
+    NodeEntry result;
+    result.node = NodeName(node);
+    result.zone = ZoneName(zone);
+    result.peer = {"10.0.0.1", 7000};
+    result.service = Parts;
+    result.nodeStartedAtMs = 5;
+    result.instance = "i-" + node;
+    result.slots = 10;
+    result.accepting = accepting;
+    return result;
+}
+
+class RecordingMirrorListener final : public ITableMirrorListener
+{
+public:
+    void onRow(const VersionedRow &row) override
+    {
+        seen.push_back(row);
+    }
+    void onConfirmed(Duration /*clock*/, Duration /*sent*/, Duration /*received*/) override
+    {
+        ++confirmed;
+    }
+    void onReachable(bool isReachable, TableEnd /*reason*/) override
+    {
+        reachable = isReachable;
+    }
+
+    std::vector<VersionedRow> seen;
+    int confirmed = 0;
+    bool reachable = true;
+};
+
+class RecordingRegistryListener final : public INodeRegistryListener
+{
+public:
+    void onNode(const NodeEntry &item) override
+    {
+        nodes[item.node] = item;
+    }
+    void onNodeGone(const NodeName &node) override
+    {
+        nodes.erase(node);
+    }
+
+    std::map<NodeName, NodeEntry> nodes;
+};
+
+} // namespace
+
+TEST_GROUP(TableMirror)
+{
+    FakeTable table;
+    FakeDelays delays;
+    ManualClock clock;
+    SeededRandom random{1};
+    RecordingMirrorListener listener;
+    TableMirror mirror{table, clock, random, delays.function(), listener, {.table = "t"}};
+};
+
+TEST(TableMirror, readsInPagesThenFollows)
+{
+    table.pageSize = 2;
+    for (const char *key : {"a", "b", "c", "d", "e"}) {
+        table.put(key, "1");
+    }
+    mirror.start();
+    table.answer();
+    table.answer();
+    CHECK(!mirror.loaded());
+    table.answer();
+    CHECK(mirror.loaded());
+    LONGS_EQUAL(5, mirror.rows().size());
+    table.put("b", "2");
+    table.drop("c");
+    table.answer();
+    STRCMP_EQUAL("2", mirror.rows().at("b").value.c_str());
+    LONGS_EQUAL(4, mirror.rows().size());
+}
+
+TEST(TableMirror, aForgottenHistoryMeansReadingAnewAndNoticesRowsThatAreGone)
+{
+    table.put("a", "1");
+    table.put("b", "1");
+    mirror.start();
+    table.answer();
+    table.drop("a");
+    table.end(TableEnd::HistoryGone);
+    table.answer();
+    LONGS_EQUAL(1, mirror.rows().size());
+    CHECK(listener.seen.back().deleted || listener.seen.size() == 3);
+    STRCMP_EQUAL("watch", table.calls.front().kind.c_str());
+}
+
+TEST(TableMirror, olderVersionsChangeNothing)
+{
+    table.put("a", "1");
+    table.put("a", "2");
+    mirror.start();
+    table.answer();
+    FakeTable::Call watch = table.calls.front();
+    table.calls.pop_front();
+    TableAnswer stale;
+    stale.end = TableEnd::Done;
+    stale.version = 1;
+    stale.rows = {{"a", "1", 1, false}};
+    watch.completion(stale);
+    STRCMP_EQUAL("2", mirror.rows().at("a").value.c_str());
+    CHECK(table.calls.front().after >= 2);
+}
+
+TEST(TableMirror, triesAgainAfterFailuresAndTellsOnce)
+{
+    mirror.start();
+    for (int i = 0; i < 3; ++i) {
+        table.end(i % 2 == 0 ? TableEnd::Refused : TableEnd::Unknown);
+        CHECK(!listener.reachable);
+        LONGS_EQUAL(0, table.calls.size());
+        delays.runAll();
+    }
+    table.answer();
+    CHECK(listener.reachable);
+    LONGS_EQUAL(1, listener.confirmed);
+}
+
+TEST_GROUP(NodeRegistry)
+{
+    FakeTable table;
+    FakeDelays delays;
+    ManualClock clock;
+    SeededRandom random{1};
+    RecordingRegistryListener listener;
+    NodeRegistry registry{table, clock, random, delays.function(), listener, NodeName("n1")};
+
+    /// Answers calls until only the watch is left.
+    void settle()
+    {
+        for (int i = 0; i < 20; ++i) {
+            delays.runAll();
+            if (!table.calls.empty() && table.calls.front().kind == "watch") {
+                if (table.calls.size() == 1) {
+                    if (table.calls.front().after >= table.version) {
+                        return;
+                    }
+                    table.answer();
+                    continue;
+                }
+                std::rotate(table.calls.begin(), table.calls.begin() + 1, table.calls.end());
+            }
+            if (!table.calls.empty()) {
+                table.answer();
+            }
+        }
+    }
+};
+
+TEST(NodeRegistry, writesTheOwnRowAndFollowsTheOthers)
+{
+    registry.publish(entry("n1", "a"));
+    registry.start();
+    table.put("n2", formatNodeEntry(entry("n2", "b")));
+    settle();
+    CHECK(parseNodeEntry(table.rows.at("n1").value).value() == entry("n1", "a"));
+    CHECK(listener.nodes.at(NodeName("n2")) == entry("n2", "b"));
+    table.drop("n2");
+    settle();
+    CHECK(!listener.nodes.contains(NodeName("n2")));
+}
+
+TEST(NodeRegistry, replacesTheRowOfAnEarlierProcess)
+{
+    table.put("n1", formatNodeEntry(entry("n1", "a", false)));
+    registry.publish(entry("n1", "a"));
+    registry.start();
+    settle();
+    CHECK(parseNodeEntry(table.rows.at("n1").value).value().accepting);
+}
+
+TEST(NodeRegistry, aLostAnswerLeadsToNoOlderRow)
+{
+    registry.publish(entry("n1", "a"));
+    registry.start();
+    table.answer(); // The read; the write follows.
+    while (table.calls.front().kind != "write") {
+        std::rotate(table.calls.begin(), table.calls.begin() + 1, table.calls.end());
+    }
+    table.end(TableEnd::Unknown, true);
+    registry.publish(entry("n1", "a", false));
+    settle();
+    settle();
+    CHECK(!parseNodeEntry(table.rows.at("n1").value).value().accepting);
+}
+
+TEST(NodeRegistry, writesAgainWhenItsRowWasRemoved)
+{
+    registry.publish(entry("n1", "a"));
+    registry.start();
+    settle();
+    table.drop("n1");
+    settle();
+    settle();
+    CHECK(table.rows.contains("n1"));
+}
+
+TEST(NodeRegistry, ignoresRowsOfOtherWriters)
+{
+    registry.start();
+    table.put("n2", "{\"node\":7}");
+    table.put("n3", "\xff\xfe");
+    table.put("n4", formatNodeEntry(entry("n4", "a")));
+    settle();
+    LONGS_EQUAL(1, listener.nodes.size());
+}
+
+TEST_GROUP(NodeDirectory)
+{
+    NodeDirectory directory{ZoneName("a")};
+    SeededRandom random{3};
+
+    std::map<std::string, int> chooseMany(int count)
+    {
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < count; ++i) {
+            const auto node = directory.choose(Parts, {}, random, Start);
+            if (node) {
+                ++chosen[node->node.value];
+                directory.finish(node->node, NodeOutcome::Served, Start);
+            }
+        }
+        return chosen;
+    }
+
+    void report(const std::string &node, int running)
+    {
+        NodeReport item;
+        item.node = NodeName(node);
+        item.startedAtMs = 5;
+        item.sequence = ++sequence;
+        item.running = running;
+        directory.recordReport(item, Start);
+    }
+
+    std::uint64_t sequence = 0;
+};
+
+TEST(NodeDirectory, keepsWorkInTheOwnZoneWhileItHasRoom)
+{
+    directory.update(entry("own", "a"));
+    directory.update(entry("far", "b"));
+    LONGS_EQUAL(50, chooseMany(50)["own"] + 0);
+}
+
+TEST(NodeDirectory, movesWorkToOtherZonesWhenTheOwnIsFull)
+{
+    directory.update(entry("own", "a"));
+    directory.update(entry("far", "b"));
+    report("own", 10);
+    report("far", 1);
+    CHECK(chooseMany(8)["far"] >= 5);
+}
+
+TEST(NodeDirectory, givesNothingToNodesThatDoNotAccept)
+{
+    directory.update(entry("own", "a", false));
+    CHECK(!directory.choose(Parts, {}, random, Start));
+    directory.update(entry("far", "b"));
+    CHECK(!directory.choose(Parts, {NodeName("far")}, random, Start));
+    CHECK(!directory.choose(ServiceName("kassa"), {}, random, Start));
+}
+
+TEST(NodeDirectory, anInstanceThatFailsHalfItsRequestsGetsFewer)
+{
+    directory.update(entry("good", "a"));
+    directory.update(entry("grey", "a"));
+    for (int i = 0; i < 40; ++i) {
+        directory.finish(NodeName("grey"), i % 2 == 0 ? NodeOutcome::Failed : NodeOutcome::Served, Start);
+    }
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 6; ++i) {
+        ++chosen[directory.choose(Parts, {}, random, Start)->node.value];
+    }
+    CHECK(chosen["good"] >= 4);
+}
+
+TEST(NodeDirectory, avoidsUnreachableNodesForAWhile)
+{
+    directory.update(entry("one", "a"));
+    directory.update(entry("two", "a"));
+    directory.finish(NodeName("one"), NodeOutcome::Unreachable, Start);
+    LONGS_EQUAL(0, chooseMany(20)["one"] + 0);
+    CHECK(directory.choose(Parts, {NodeName("two")}, random, Start).has_value());
+}
+
+TEST(NodeDirectory, ignoresEntriesAndReportsOfEarlierProcesses)
+{
+    NodeEntry newer = entry("one", "a");
+    newer.nodeStartedAtMs = 9;
+    directory.update(newer);
+    directory.update(entry("one", "a", false));
+    CHECK(directory.find(NodeName("one"))->accepting);
+    NodeReport report;
+    report.node = NodeName("one");
+    report.startedAtMs = 9;
+    report.sequence = 2;
+    report.running = 3;
+    directory.recordReport(report, Start);
+    report.startedAtMs = 5;
+    report.sequence = 70;
+    report.running = 9;
+    directory.recordReport(report, Start);
+    LONGS_EQUAL(3, directory.reports(1s, Start).front().running);
+    LONGS_EQUAL(0, directory.reports(1s, Start + 2s).size());
+}
--- /dev/null
+++ b/src/net/tests/net_tests.cpp
@@ -0,0 +1,510 @@
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "net/peerlink.h"
+
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+/// Ends a test that hangs; far above what any step takes, so that no verdict depends on speed.
+constexpr Duration HangLimit = 60s;
+
+/// Runs the loop until the condition holds.
+template<class Condition>
+bool runUntil(EventLoop &loop, Condition condition)
+{
+    const auto start = std::chrono::steady_clock::now();
+    while (!condition() && std::chrono::steady_clock::now() - start < HangLimit) {
+        loop.context().restart();
+        loop.context().run_for(1ms);
+    }
+    return condition();
+}
+
+/// Answers each request with its target, unless told to wait.
+class EchoListener final : public IHttpListener
+{
+public:
+    void onRequest(ExchangeId exchange, HttpRequest request, const std::string & /*peer*/) override
+    {
+        requests.push_back(request);
+        exchanges.push_back(exchange);
+        if (answering) {
+            answer(exchanges.size() - 1);
+        }
+    }
+
+    void onCallerGone(ExchangeId exchange) override
+    {
+        gone.push_back(exchange);
+    }
+
+    void answer(std::size_t index)
+    {
+        HttpResponse response;
+        response.status = 200;
+        response.body = requests[index].target + requests[index].body;
+        server->respond(exchanges[index], response);
+    }
+
+    IHttpServer *server = nullptr;
+    bool answering = true;
+    std::vector<HttpRequest> requests;
+    std::vector<ExchangeId> exchanges;
+    std::vector<ExchangeId> gone;
+};
+
+/// A plain connection on which a test sends and reads bytes.
+class RawConnection
+{
+public:
+    RawConnection(EventLoop &loop, std::uint16_t port)
+        : m_loop(loop)
+        , m_socket(loop.context())
+    {
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
+        m_socket.non_blocking(true);
+    }
+
+    explicit RawConnection(EventLoop &loop, Tcp::socket socket)
+        : m_loop(loop)
+        , m_socket(std::move(socket))
+    {
+        m_socket.non_blocking(true);
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(bytes));
+    }
+
+    /// Reads until the text has come or the other side has closed.
+    std::string readUntil(const std::string &text)
+    {
+        runUntil(m_loop, [&] {
+            poll();
+            return m_closed || m_received.find(text) != std::string::npos;
+        });
+        return m_received;
+    }
+
+    bool waitForClose()
+    {
+        return runUntil(m_loop, [&] {
+            poll();
+            return m_closed;
+        });
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+private:
+    void poll()
+    {
+        std::array<char, 4096> chunk{};
+        boost::system::error_code error;
+        const std::size_t bytes = m_socket.read_some(boost::asio::buffer(chunk), error);
+        m_received.append(chunk.data(), bytes);
+        m_closed |= error && error != boost::asio::error::would_block;
+    }
+
+    EventLoop &m_loop;
+    Tcp::socket m_socket;
+    std::string m_received;
+    bool m_closed = false;
+};
+
+} // namespace
+
+TEST_GROUP(HttpServer)
+{
+    EventLoop loop;
+    EchoListener listener;
+    std::unique_ptr<IHttpServer> server = makeHttpServer(loop, listener);
+
+    void setup() override
+    {
+        listener.server = server.get();
+        CHECK(server->listen({"127.0.0.1", 0}).has_value());
+    }
+
+    std::string exchange(const std::string &bytes)
+    {
+        RawConnection connection(loop, server->port());
+        connection.send(bytes);
+        return connection.readUntil("\r\n\r\n");
+    }
+
+    void expectRefusal(const std::string &bytes)
+    {
+        RawConnection connection(loop, server->port());
+        connection.send(bytes + "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n");
+        STRCMP_CONTAINS("HTTP/1.1 400", connection.readUntil("\r\n\r\n").c_str());
+        CHECK(connection.waitForClose());
+        LONGS_EQUAL(0, listener.requests.size());
+    }
+};
+
+TEST(HttpServer, pipelinedRequestsAreAnsweredInOrderWhateverTheirPieces)
+{
+    std::string all;
+    for (int i = 0; i < 60; ++i) {
+        all += "POST /n" + std::to_string(i) + " HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    }
+    RawConnection connection(loop, server->port());
+    for (std::size_t at = 0; at < all.size(); at += 37) {
+        connection.send(all.substr(at, 37));
+        loop.context().restart();
+        loop.context().run_for(0ms);
+    }
+    const std::string answers = connection.readUntil("/n59abc");
+    std::size_t at = 0;
+    for (int i = 0; i < 60; ++i) {
+        at = answers.find("/n" + std::to_string(i) + "abc", at);
+        CHECK(at != std::string::npos);
+    }
+}
+
+TEST(HttpServer, bothLengthAndChunksAreRefused)
+{
+    expectRefusal("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+}
+
+TEST(HttpServer, twoLengthsAreRefused)
+{
+    expectRefusal("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n");
+}
+
+TEST(HttpServer, unknownTransferCodingIsRefused)
+{
+    expectRefusal("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+}
+
+TEST(HttpServer, negativeLengthIsRefused)
+{
+    expectRefusal("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n");
+}
+
+TEST(HttpServer, twoCredentialsOrHostsAreRefused)
+{
+    expectRefusal("GET / HTTP/1.1\r\nHost: x\r\nAuthorization: a\r\nAuthorization: b\r\n\r\n");
+    expectRefusal("GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n");
+}
+
+TEST(HttpServer, chunkedBodiesArrivePlain)
+{
+    const std::string answer =
+        exchange("POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    STRCMP_CONTAINS("200", answer.c_str());
+    STRCMP_EQUAL("abcde", listener.requests.at(0).body.c_str());
+}
+
+TEST(HttpServer, tooLargeHeadsAndBodiesGetTheirStatus)
+{
+    server->setLimits({.headBytes = 200, .bodyBytes = 10});
+    STRCMP_CONTAINS("431", exchange("GET /" + std::string(500, 'a') + " HTTP/1.1\r\nHost: x\r\n\r\n").c_str());
+    STRCMP_CONTAINS("413", exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n").c_str());
+}
+
+TEST(HttpServer, noticesACallerThatLeavesWhileItsRequestRuns)
+{
+    listener.answering = false;
+    RawConnection connection(loop, server->port());
+    connection.send("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 1;
+    }));
+    connection.close();
+    CHECK(runUntil(loop, [&] {
+        return listener.gone.size() == 1;
+    }));
+    listener.answer(0); // Ignored.
+    LONGS_EQUAL(0, server->connections());
+    LONGS_EQUAL(0, server->bytesHeld());
+}
+
+TEST(HttpServer, drainingAnswersAskForClosing)
+{
+    server->startDraining();
+    RawConnection connection(loop, server->port());
+    connection.send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
+    STRCMP_CONTAINS("Connection: close", connection.readUntil("/last").c_str());
+    CHECK(connection.waitForClose());
+}
+
+/// A server of which the test writes each byte.
+TEST_GROUP(HttpClient)
+{
+    EventLoop loop;
+    Tcp::acceptor acceptor{loop.context(), {boost::asio::ip::address_v4::loopback(), 0}};
+    std::unique_ptr<IHttpClient> client = makeHttpClient(loop, {});
+    std::vector<ClientResult> results;
+
+    ClientCallId send(const std::string &id = "a1", Duration timeout = HangLimit)
+    {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/x";
+        request.headers = {{"Host", "x"}, {"Id", id}};
+        return client->send({"127.0.0.1", acceptor.local_endpoint().port()},
+                            request,
+                            timeout,
+                            {.name = "Id", .value = id},
+                            [this](ClientResult result) {
+                                results.push_back(std::move(result));
+                            });
+    }
+
+    RawConnection accept()
+    {
+        loop.context().restart();
+        loop.context().run_for(1ms);
+        RawConnection connection(loop, acceptor.accept());
+        connection.readUntil("\r\n\r\n");
+        return connection;
+    }
+
+    ClientResult waitForResult(std::size_t count = 1)
+    {
+        CHECK(runUntil(loop, [&] {
+            return results.size() >= count;
+        }));
+        return results.back();
+    }
+};
+
+TEST(HttpClient, keepsConnections)
+{
+    send();
+    RawConnection connection = accept();
+    connection.send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 2\r\n\r\nok");
+    STRCMP_EQUAL("ok", waitForResult().response.body.c_str());
+    send("a2");
+    connection.send("HTTP/1.1 200 OK\r\nId: a2\r\nContent-Length: 2\r\n\r\nno");
+    STRCMP_EQUAL("no", waitForResult(2).response.body.c_str());
+    LONGS_EQUAL(1, client->connectionsOpened());
+}
+
+TEST(HttpClient, dropsAnAnswerToAnEarlierRequest)
+{
+    send("a2");
+    RawConnection connection = accept();
+    connection.send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nlate"
+                    "HTTP/1.1 200 OK\r\nId: a2\r\nContent-Length: 5\r\n\r\nright");
+    STRCMP_EQUAL("right", waitForResult().response.body.c_str());
+    CHECK(connection.waitForClose());
+}
+
+TEST(HttpClient, bytesBehindAnAnswerEndTheConnection)
+{
+    send();
+    RawConnection connection = accept();
+    connection.send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+    CHECK(waitForResult().end == ClientEnd::Complete);
+    CHECK(connection.waitForClose());
+}
+
+TEST(HttpClient, anAnswerThatEndsEarlyIsBroken)
+{
+    send();
+    {
+        RawConnection connection = accept();
+        connection.send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 20\r\n\r\nhalf");
+        loop.context().restart();
+        loop.context().run_for(1ms);
+        connection.close();
+    }
+    CHECK(waitForResult().end == ClientEnd::Broken);
+    CHECK(results.back().sentAnything);
+}
+
+TEST(HttpClient, anAnswerWithoutLengthEndsWithItsConnection)
+{
+    send();
+    RawConnection connection = accept();
+    connection.send("HTTP/1.1 200 OK\r\nId: a1\r\n\r\nall of it");
+    connection.close();
+    CHECK(waitForResult().end == ClientEnd::Complete);
+    STRCMP_EQUAL("all of it", results.back().response.body.c_str());
+}
+
+TEST(HttpClient, bytesThatAreNoAnswerAreBroken)
+{
+    send();
+    RawConnection connection = accept();
+    connection.send("\x01\x02 what is this\r\n\r\n");
+    CHECK(waitForResult().end == ClientEnd::Broken);
+}
+
+TEST(HttpClient, aRefusedConnectionHasSentNothing)
+{
+    acceptor.close();
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    client->send({"127.0.0.1", 1}, request, HangLimit, {}, [this](ClientResult result) {
+        results.push_back(std::move(result));
+    });
+    CHECK(waitForResult().end == ClientEnd::NotSent);
+    CHECK(!results.back().sentAnything);
+}
+
+TEST(HttpClient, timeoutAndCancelCloseTheConnection)
+{
+    send("a1", 1ms);
+    CHECK(waitForResult().end == ClientEnd::TimedOut);
+    const ClientCallId call = send("a2");
+    RawConnection first = accept();
+    RawConnection second = accept();
+    client->cancel(call);
+    CHECK(first.waitForClose());
+    CHECK(second.waitForClose());
+    LONGS_EQUAL(1, results.size());
+}
+
+namespace {
+
+class RecordingPeerListener final : public IPeerListener
+{
+public:
+    void onCall(PeerCallId call, CallRequest request) override
+    {
+        calls.emplace_back(call, std::move(request));
+    }
+    void onCallAbandoned(PeerCallId call) override
+    {
+        abandoned.push_back(call);
+    }
+    void onReport(const NodeReport &report) override
+    {
+        reports.push_back(report);
+    }
+
+    std::vector<std::pair<PeerCallId, CallRequest>> calls;
+    std::vector<PeerCallId> abandoned;
+    std::vector<NodeReport> reports;
+};
+
+/// A port that is free now. Taken from the kernel, and only used at once by the same test.
+std::uint16_t freePort(EventLoop &loop)
+{
+    Tcp::acceptor acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+} // namespace
+
+TEST_GROUP(PeerLink)
+{
+    EventLoop loop;
+    RecordingPeerListener listenerA;
+    RecordingPeerListener listenerB;
+    std::unique_ptr<IPeerLink> linkA = makePeerLink(loop, listenerA, {});
+    std::unique_ptr<IPeerLink> linkB = makePeerLink(loop, listenerB, {});
+    Endpoint addressB;
+    std::vector<std::pair<PeerCallEnd, CallReply>> ends;
+
+    void setup() override
+    {
+        addressB = {"127.0.0.1", freePort(loop)};
+        CHECK(linkB->listen(addressB).has_value());
+    }
+
+    OutgoingCallId call(const std::string &body)
+    {
+        CallRequest request;
+        request.body = body;
+        request.rank = 3;
+        request.instance = "i-1";
+        return linkA->call(addressB, request, [this](PeerCallEnd end, CallReply reply) {
+            ends.emplace_back(end, std::move(reply));
+        });
+    }
+};
+
+TEST(PeerLink, repliesInAnyOrderReachTheirCalls)
+{
+    for (int i = 0; i < 20; ++i) {
+        call("body" + std::to_string(i) + std::string(static_cast<std::size_t>(i) * 5000, 'x'));
+    }
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 20;
+    }));
+    STRCMP_EQUAL("i-1", listenerB.calls[0].second.instance.c_str());
+    LONGS_EQUAL(3, listenerB.calls[0].second.rank);
+    for (std::size_t i = 20; i-- > 0;) {
+        CallReply reply;
+        reply.body = listenerB.calls[i].second.body;
+        linkB->reply(listenerB.calls[i].first, reply);
+    }
+    CHECK(runUntil(loop, [&] {
+        return ends.size() == 20;
+    }));
+    for (const auto &[end, reply] : ends) {
+        CHECK(end == PeerCallEnd::Replied);
+    }
+    STRCMP_EQUAL("body0", ends.back().second.body.c_str());
+}
+
+TEST(PeerLink, cancelReachesTheOtherNode)
+{
+    const OutgoingCallId id = call("x");
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 1;
+    }));
+    linkA->cancel(id);
+    CHECK(runUntil(loop, [&] {
+        return listenerB.abandoned.size() == 1;
+    }));
+    linkB->reply(listenerB.calls[0].first, {}); // Ignored.
+    LONGS_EQUAL(0, ends.size());
+}
+
+TEST(PeerLink, aNodeThatIsNotThereGetsNothing)
+{
+    addressB.port = freePort(loop);
+    call("x");
+    CHECK(runUntil(loop, [&] {
+        return ends.size() == 1;
+    }));
+    CHECK(ends[0].first == PeerCallEnd::NotSent);
+}
+
+TEST(PeerLink, anEndedConnectionBreaksItsCallsAndAbandonsThem)
+{
+    call("x");
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 1;
+    }));
+    RawConnection garbage(loop, addressB.port);
+    garbage.send(std::string("\x08\x00\x00\x00", 4) + "nonsense");
+    CHECK(garbage.waitForClose());
+    LONGS_EQUAL(0, ends.size()); // Another connection's fault is no fault of this one.
+}
+
+TEST(PeerLink, reportsArrive)
+{
+    NodeReport report;
+    report.node = NodeName("n");
+    report.sequence = 4;
+    report.loads = {{RouteName("r"), 2.5, 0.25}};
+    report.edges = {{RouteName("r"), RouteName("s"), 2}};
+    report.demands = {{WorkspaceName("w"), 12.5}};
+    linkB->sendReport(addressB, report);
+    CHECK(runUntil(loop, [&] {
+        return listenerB.reports.size() == 1;
+    }));
+    DOUBLES_EQUAL(0.25, listenerB.reports[0].loads.at(0).workSeconds, 1e-6);
+    DOUBLES_EQUAL(2, listenerB.reports[0].edges.at(0).callsPerRequest, 1e-6);
+    DOUBLES_EQUAL(12.5, listenerB.reports[0].demands.at(0).perSecond, 1e-6);
+}
