Tell calls of instances from requests of callers by the route, deal rates by reported demand

Calls are now known by their open route and missing key. Work goes to other zones only when the own zone is full.

--- a/src/entrance/internal/workspacerates.cpp
+++ b/src/entrance/internal/workspacerates.cpp
@@ -102,7 +102,9 @@
     for (auto &[workspace, account] : m_accounts) {
         fill(account, now);
         const double least = account.limit.ratePerSecond * KeptForIdleNodes / nodes;
-        const double own = account.demand + least;
+        // The others count with what they have been told; a newer own demand would make the parts add up to more
+        // than one while demand rises everywhere.
+        const double own = std::min(account.demand, account.demandBefore) + least;
         const double total = own + otherDemand[workspace] + least * (nodes - 1);
         const double wanted = total > 0 ? own / total : 1 / nodes;
         account.part = allHeard ? wanted : std::min(wanted, std::max(account.part, 1 / nodes));
@@ -115,6 +117,7 @@
     m_demandAt = now;
     std::vector<WorkspaceDemand> result;
     for (auto &[workspace, account] : m_accounts) {
+        account.demandBefore = account.demand;
         if (elapsed > 0) {
             const double weight = 1 - std::exp(-elapsed / DemandSeconds);
             account.demand += weight * (account.asked / elapsed - account.demand);
--- a/src/entrance/tests/entrance_tests.cpp
+++ b/src/entrance/tests/entrance_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <numeric>
 #include <queue>
 
 #include <CppUTest/TestHarness.h>
@@ -230,7 +231,6 @@
     /// Runs a quarter of a second: each node gets the given requests per second; nodes of one side hear each other.
     int step(const std::vector<double> &perSecond, const std::function<int(int)> &side)
     {
-        int sum = 0;
         for (int i = 0; i < Nodes; ++i) {
             reports[i] = reportOf(names[i].value, Archive);
             reports[i].demands = rates[i].demands(now);
@@ -244,6 +244,13 @@
             }
             rates[i].rebalance(names, heard, now);
         }
+        return takeAll(perSecond);
+    }
+
+    /// What all nodes admit in a quarter of a second.
+    int takeAll(const std::vector<double> &perSecond)
+    {
+        int sum = 0;
         for (int tick = 0; tick < 25; ++tick) {
             now += 10ms;
             for (int i = 0; i < Nodes; ++i) {
@@ -256,6 +263,20 @@
         return sum;
     }
 
+    /// As step(), but a node knows of the others what they reported a quarter of a second ago.
+    int stepWithLateReports(const std::vector<double> &perSecond)
+    {
+        const std::vector<NodeReport> late = reports;
+        for (int i = 0; i < Nodes; ++i) {
+            reports[i] = reportOf(names[i].value, Archive);
+            reports[i].demands = rates[i].demands(now);
+            if (!late[i].node.empty()) {
+                rates[i].rebalance(names, late, now);
+            }
+        }
+        return takeAll(perSecond);
+    }
+
     std::vector<double> m_carry = std::vector<double>(Nodes, 0);
 };
 
@@ -298,6 +319,19 @@
     }
 }
 
+TEST(WorkspaceRates, aFloodThatStartsAtAllNodesAtOnceStaysInsideTheBound)
+{
+    std::deque<int> window;
+    for (int i = 0; i < 60; ++i) {
+        std::vector<double> demand(Nodes, i < 8 ? 0 : 75);
+        window.push_back(stepWithLateReports(demand));
+        if (window.size() > 20) {
+            window.pop_front();
+        }
+        CHECK(std::accumulate(window.begin(), window.end(), 0) <= (300 * 5 + 300) * 1.1 + 20);
+    }
+}
+
 TEST(WorkspaceRates, bothSidesOfACutStayInsideTheBoundTogether)
 {
     std::deque<int> window;
--- a/src/entrance/workspacerates.h
+++ b/src/entrance/workspacerates.h
@@ -45,6 +45,7 @@
         double tokens = 0;
         TimePoint filledAt;
         double demand = 0; ///< Requests per second, exponentially weighted.
+        double demandBefore = 0; ///< As told to the other nodes one report earlier.
         int asked = 0; ///< Since the demand was last brought up to date.
     };
 
--- a/src/fleet/internal/nodedirectory.cpp
+++ b/src/fleet/internal/nodedirectory.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 /// Load above which requests also go to other zones. Below it, work stays where bytes are cheap and links short.
-constexpr double LocalLoadLimit = 0.7;
+constexpr double LocalLoadLimit = 0.85;
+/// How much less loaded an instance of another zone must be.
+constexpr double RemoteAdvantage = 0.1;
 /// A report older than this says nothing about the load any more; reports come several times a second.
 constexpr Duration ReportLifetime = std::chrono::seconds(2);
 /// Weight of the newest outcome in the share of failures; about the last 10 calls count.
@@ -70,35 +72,44 @@
     return static_cast<double>(std::max(busy, known.inFlight)) / slots + FailureLoad * known.failures;
 }
 
+/// Many nodes that choose by the same reports do not all choose the same instance.
+NodeDirectory::Known *
+NodeDirectory::betterOfTwo(const std::vector<Known *> &candidates, IRandom &random, TimePoint now) const
+{
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    Known *first = candidates[random.below(candidates.size())];
+    Known *second = candidates[random.below(candidates.size())];
+    return load(*second, now) < load(*first, now) ? second : first;
+}
+
 std::optional<NodeEntry>
 NodeDirectory::choose(const ServiceName &service, const std::set<NodeName> &excluded, IRandom &random, TimePoint now)
 {
     std::vector<Known *> local;
-    std::vector<Known *> all;
+    std::vector<Known *> remote;
     std::vector<Known *> avoided;
     for (auto &[name, known] : m_nodes) {
         if (known.entry.service != service || !known.entry.accepting || excluded.contains(name)) {
             continue;
         }
-        if (known.avoidUntil > now) {
-            avoided.push_back(&known);
-            continue;
-        }
-        all.push_back(&known);
-        if (known.entry.zone == m_ownZone && load(known, now) < LocalLoadLimit) {
-            local.push_back(&known);
-        }
-    }
-    std::vector<Known *> &candidates = !local.empty() ? local : !all.empty() ? all : avoided;
-    if (candidates.empty()) {
-        return std::nullopt;
+        std::vector<Known *> &group = known.avoidUntil > now ? avoided : known.entry.zone == m_ownZone ? local : remote;
+        group.push_back(&known);
     }
-    // The better of two random ones: many nodes that choose by the same reports do not all choose the same instance.
-    Known *best = candidates[random.below(candidates.size())];
-    Known *other = candidates[random.below(candidates.size())];
-    if (load(*other, now) < load(*best, now)) {
+    Known *best = betterOfTwo(local, random, now);
+    Known *other = betterOfTwo(remote, random, now);
+    if (best == nullptr
+        || (other != nullptr && load(*best, now) > LocalLoadLimit
+            && load(*other, now) + RemoteAdvantage < load(*best, now))) {
         best = other;
     }
+    if (best == nullptr) {
+        best = betterOfTwo(avoided, random, now);
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
     ++best->inFlight;
     ++best->sentSinceReport;
     return best->entry;
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -72,6 +72,7 @@
         TimePoint avoidUntil;
     };
 
+    Known *betterOfTwo(const std::vector<Known *> &candidates, IRandom &random, TimePoint now) const;
     [[nodiscard]] double load(const Known &known, TimePoint now) const;
 
     ZoneName m_ownZone;
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -73,11 +73,10 @@
     return age ? milliseconds(*age) : "never";
 }
 
-void EgressProxy::onRequest(ExchangeId exchange, HttpRequest http, const std::string &peerAddress)
+void EgressProxy::onRequest(ExchangeId exchange, HttpRequest http, const std::string & /*peerAddress*/)
 {
     Request request;
     request.exchange = exchange;
-    request.fromInstance = peerAddress == m_parts.settings.instance.address;
     request.enteredAt = m_parts.clock.now();
     request.attemptId = http.header(m_parts.settings.headers.attemptId);
     if (const auto rejection = admit(http, request)) {
@@ -108,6 +107,10 @@
         return Rejection{404, RefusalKind::UnknownRoute};
     }
     request.route = route->name;
+    // Callers and the own instance send from the same address. Calls of instances carry no key, and their routes need
+    // none; callers send a key unless the route is open to all.
+    request.fromInstance =
+        route->open && !m_table.config().workspaces.empty() && http.header(m_parts.settings.headers.key).empty();
     request.idempotent = route->idempotent;
     request.maxAttempts = route->idempotent ? std::max(route->maxAttempts, 1) : 1;
     request.rank = route->rank;
@@ -237,7 +240,7 @@
         return;
     }
     if (request.tries == 0) {
-        m_parts.retries.recordFirstAttempt(request.service);
+        retryBudget(request).recordFirstAttempt(request.service);
     }
     ++request.tries;
     request.node = node->node;
@@ -310,7 +313,7 @@
 {
     Request &request = m_requests.at(id);
     const bool arrivedAtInstance = reply.refusal == RefusalKind::UpstreamOverloaded;
-    if (arrivedAtInstance && !m_parts.retries.tryRetry(request.service)) {
+    if (arrivedAtInstance && !retryBudget(request).tryRetry(request.service)) {
         giveUp(id, request.arrived > 0 ? 502 : 503, reply.refusal, reply.retryAfter);
         return;
     }
@@ -331,7 +334,12 @@
 bool EgressProxy::mayRepeat(const Request &request)
 {
     return request.idempotent && request.arrived < request.maxAttempts && request.tries < MaxTries
-        && request.deadline - m_parts.clock.now() > LeastTimeToRepeat && m_parts.retries.tryRetry(request.service);
+        && request.deadline - m_parts.clock.now() > LeastTimeToRepeat && retryBudget(request).tryRetry(request.service);
+}
+
+IRetryBudget &EgressProxy::retryBudget(const Request &request)
+{
+    return request.fromInstance ? m_parts.callRetries : m_parts.retries;
 }
 
 void EgressProxy::onTimeout(RequestId id)
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -29,7 +29,8 @@
     NodeDirectory &directory;
     WorkspaceRates &rates;
     EntranceShedder &shedder;
-    IRetryBudget &retries;
+    IRetryBudget &retries; ///< Of requests of callers.
+    IRetryBudget &callRetries; ///< Of calls that the own instance makes.
     IngressProxy &ingress;
 };
 
@@ -108,6 +109,7 @@
     void onUnknownEnd(RequestId id, RefusalKind kind);
     void onTimeout(RequestId id);
     bool mayRepeat(const Request &request);
+    IRetryBudget &retryBudget(const Request &request);
     void answer(RequestId id, CallReply reply);
     void giveUp(RequestId id, int status, RefusalKind kind, Duration retryAfter);
     void cancelAttempt(Request &request);
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -39,12 +39,14 @@
         , m_directory(settings.zone)
         , m_rates(settings.node)
         , m_retries(makeRetryBudget(clock, settings.freeRetries))
+        , m_callRetries(makeRetryBudget(clock, 0))
         , m_egress(parts(random, metrics))
         , m_control(parts(random, metrics), m_egress, table)
         , m_server(makeHttpServer(loop, m_egress))
         , m_link(makePeerLink(loop, *this, {}))
     {
         m_retries->setRatioPercent(settings.retryPercent);
+        m_callRetries->setRatioPercent(settings.callRetryPercent);
         m_egress.connect(*m_server, *m_link);
     }
 
@@ -70,6 +72,7 @@
                 m_rates,
                 m_shedder,
                 *m_retries,
+                *m_callRetries,
                 m_ingress};
     }
 
@@ -89,6 +92,7 @@
     WorkspaceRates m_rates;
     EntranceShedder m_shedder;
     std::unique_ptr<IRetryBudget> m_retries;
+    std::unique_ptr<IRetryBudget> m_callRetries;
     EgressProxy m_egress;
     FleetControl m_control;
     std::unique_ptr<IHttpServer> m_server;
