Correct the entrance plan by what the services show, rename src/platform to src/store

Now instances add up by rates, and a service whose slots idle while requests are refused for its sake gets more room in the plan, one with a queue less.

--- a/src/claims/claimssetup.h
+++ b/src/claims/claimssetup.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "claims/iclaims.h"
-#include "platform/itableservice.h"
+#include "store/itableservice.h"
 
 #include <memory>
 
--- a/src/claims/tests/faketable.h
+++ b/src/claims/tests/faketable.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "platform/itableservice.h"
+#include "store/itableservice.h"
 
 #include <functional>
 #include <map>
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -9,7 +9,7 @@
 #include "daemon/internal/ingressshell.h"
 #include "metrics/metricssetup.h"
 #include "node/nodesetup.h"
-#include "platform/platformsetup.h"
+#include "store/platformsetup.h"
 #include "transport/httpedge.h"
 #include "transport/nodelink.h"
 
--- a/src/daemon/internal/decisionthread.h
+++ b/src/daemon/internal/decisionthread.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/internal/nodelock.h"
-#include "platform/iexecutor.h"
+#include "store/iexecutor.h"
 
 #include <atomic>
 #include <thread>
--- a/src/documents/documentssetup.h
+++ b/src/documents/documentssetup.h
@@ -3,8 +3,8 @@
 #include "base/random.h"
 #include "documents/idocuments.h"
 #include "documents/ikeyring.h"
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
+#include "store/iobjectstore.h"
+#include "store/itableservice.h"
 
 #include <functional>
 #include <memory>
--- a/src/documents/internal/documentrows.h
+++ b/src/documents/internal/documentrows.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "documents/idocuments.h"
-#include "platform/itableservice.h"
+#include "store/itableservice.h"
 
 #include <string>
 #include <string_view>
--- a/src/documents/simulation/faultyplatform.h
+++ b/src/documents/simulation/faultyplatform.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/random.h"
-#include "platform/iexecutor.h"
-#include "platform/memorystore.h"
+#include "store/iexecutor.h"
+#include "store/memorystore.h"
 
 #include <functional>
 
--- a/src/entrance/entranceplan.h
+++ b/src/entrance/entranceplan.h
@@ -35,12 +35,21 @@
             return count == 0 ? 0 : sum / count;
         }
     };
+    /// Instances of one service differ in speed; together they finish the sum of their rates.
+    struct MeanOfRates {
+        double rates = 0;
+        int count = 0;
+        [[nodiscard]] double workSeconds() const
+        {
+            return rates == 0 ? 0 : count / rates;
+        }
+    };
     using ServiceRoute = std::pair<ServiceName, RouteName>;
 
     void add(const RouteName &route, double requests, int depth, std::map<ServiceName, double> &cost) const;
 
     std::map<RouteName, std::map<ServiceName, double>> m_shares;
-    std::map<ServiceRoute, Mean> m_work;
+    std::map<ServiceRoute, MeanOfRates> m_work;
     std::map<ServiceRoute, std::map<RouteName, Mean>> m_calls;
 };
 
@@ -50,10 +59,35 @@
         0.2; ///< Of each route's requests, so that no kind of request starves behind more important ones.
 };
 
+/// Corrects the room that the plan counts with by what the services show: a service whose slots are idle while requests
+/// are refused for its sake has more room than thought, one with a queue has less.
+class RoomCorrection
+{
+public:
+    /// Takes the reports of one round. scarce: the services for whose sake requests are refused.
+    void update(const std::vector<NodeReport> &reports, const std::vector<ServiceName> &scarce);
+
+    /// Factor of the service's slots, 1 when nothing is known.
+    [[nodiscard]] double factor(const ServiceName &service) const;
+
+private:
+    struct State {
+        double factor = 1;
+        double pressure = 0; ///< Requests running and queued over slots, exponentially weighted.
+    };
+
+    std::map<ServiceName, State> m_services;
+};
+
+struct EntrancePlan {
+    std::map<RouteName, double> shares; ///< Of each route's requests, 0 to 1.
+    std::vector<ServiceName> scarce; ///< Services without room for more.
+};
+
 /// The share of each route's requests to admit, so that what is admitted can be finished by the deepest service that
 /// it needs. More important routes come first; among equals the one that needs least of the scarce service.
-std::map<RouteName, double> planEntrance(const std::vector<EntranceRoute> &routes,
-                                         const std::map<ServiceName, double> &slots,
-                                         const EntrancePlanSettings &settings);
+EntrancePlan planEntrance(const std::vector<EntranceRoute> &routes,
+                          const std::map<ServiceName, double> &slots,
+                          const EntrancePlanSettings &settings);
 
 } // namespace vanillatack
--- a/src/entrance/internal/entranceplan.cpp
+++ b/src/entrance/internal/entranceplan.cpp
@@ -15,8 +15,8 @@
 {
     for (const RouteLoad &load : report.loads) {
         if (load.workSeconds > 0) {
-            Mean &mean = m_work[{report.service, load.route}];
-            mean.sum += load.workSeconds;
+            MeanOfRates &mean = m_work[{report.service, load.route}];
+            mean.rates += 1 / load.workSeconds;
             ++mean.count;
         }
     }
@@ -44,7 +44,7 @@
         const ServiceRoute key{service, route};
         const auto work = m_work.find(key);
         if (work != m_work.end()) {
-            cost[service] += requests * share * work->second.value();
+            cost[service] += requests * share * work->second.workSeconds();
         }
         const auto calls = m_calls.find(key);
         if (calls == m_calls.end()) {
@@ -58,6 +58,60 @@
 
 namespace {
 
+/// Weight of the newest round in the mean pressure; reports are snapshots of numbers that change from one request to
+/// the next.
+constexpr double PressureWeight = 0.3;
+/// Pressure below which a service has room, and above which it has too much. Between them the queue is short and few
+/// slots are idle.
+constexpr double RoomyPressure = 0.85;
+constexpr double CrowdedPressure = 1.05;
+/// Steps of the correction in one round, about a quarter of a second.
+constexpr double StepUp = 1.05;
+constexpr double StepDown = 0.92;
+constexpr double LeastFactor = 0.4;
+constexpr double GreatestFactor = 2.5;
+
+} // namespace
+
+void RoomCorrection::update(const std::vector<NodeReport> &reports, const std::vector<ServiceName> &scarce)
+{
+    struct Sums {
+        int busy = 0;
+        int slots = 0;
+    };
+    std::map<ServiceName, Sums> sums;
+    for (const NodeReport &report : reports) {
+        sums[report.service].busy += report.running + report.queued;
+        sums[report.service].slots += report.slots;
+    }
+    for (const auto &[service, sum] : sums) {
+        if (sum.slots == 0) {
+            continue;
+        }
+        State &state = m_services[service];
+        state.pressure += PressureWeight * (static_cast<double>(sum.busy) / sum.slots - state.pressure);
+        const bool cut = std::find(scarce.begin(), scarce.end(), service) != scarce.end();
+        if (state.pressure > CrowdedPressure) {
+            state.factor = std::max(state.factor * StepDown, LeastFactor);
+        } else if (cut && state.pressure < RoomyPressure) {
+            state.factor = std::min(state.factor * StepUp, GreatestFactor);
+        } else if (!cut && state.factor < 1) {
+            state.factor = std::min(state.factor * StepUp, 1.0);
+        }
+    }
+}
+
+double RoomCorrection::factor(const ServiceName &service) const
+{
+    const auto entry = m_services.find(service);
+    return entry == m_services.end() ? 1 : entry->second.factor;
+}
+
+namespace {
+
+/// Part of a service's room that counts as none.
+constexpr double UsedUpShare = 0.01;
+
 /// Slots that are left of each service.
 class Room
 {
@@ -86,6 +140,18 @@
         return share;
     }
 
+    /// Services without room for more.
+    [[nodiscard]] std::vector<ServiceName> used() const
+    {
+        std::vector<ServiceName> services;
+        for (const auto &[service, left] : m_left) {
+            if (left <= m_total.at(service) * UsedUpShare) {
+                services.push_back(service);
+            }
+        }
+        return services;
+    }
+
     /// What one request takes of the service of which it takes most.
     [[nodiscard]] double scarcity(const EntranceRoute &route) const
     {
@@ -112,9 +178,9 @@
 
 } // namespace
 
-std::map<RouteName, double> planEntrance(const std::vector<EntranceRoute> &routes,
-                                         const std::map<ServiceName, double> &slots,
-                                         const EntrancePlanSettings &settings)
+EntrancePlan planEntrance(const std::vector<EntranceRoute> &routes,
+                          const std::map<ServiceName, double> &slots,
+                          const EntrancePlanSettings &settings)
 {
     Room room(slots, settings.usableShare);
     std::vector<const EntranceRoute *> order;
@@ -125,13 +191,14 @@
     std::sort(order.begin(), order.end(), [&room](const EntranceRoute *a, const EntranceRoute *b) {
         return std::pair(a->rank, room.scarcity(*a)) < std::pair(b->rank, room.scarcity(*b));
     });
-    std::map<RouteName, double> shares;
+    EntrancePlan plan;
     for (const double part : {settings.leastShare, 1.0 - settings.leastShare}) {
         for (const EntranceRoute *route : order) {
-            shares[route->route] += room.take(*route, part);
+            plan.shares[route->route] += room.take(*route, part);
         }
     }
-    return shares;
+    plan.scarce = room.used();
+    return plan;
 }
 
 } // namespace vanillatack
--- a/src/entrance/tests/entrance_tests.cpp
+++ b/src/entrance/tests/entrance_tests.cpp
@@ -155,7 +155,7 @@
 
 TEST(EntrancePlan, admitsAllThatFits)
 {
-    for (const auto &[route, share] : planEntrance(surge(1), slots, settings)) {
+    for (const auto &[route, share] : planEntrance(surge(1), slots, settings).shares) {
         DOUBLES_EQUAL(1.0, share, 1e-9);
     }
 }
@@ -163,7 +163,7 @@
 TEST(EntrancePlan, surgeIsCutToWhatTheDeepServiceFinishes)
 {
     const auto routes = surge(2.3);
-    const auto shares = planEntrance(routes, slots, settings);
+    const auto shares = planEntrance(routes, slots, settings).shares;
     CHECK(needed(routes, shares) <= 204 * settings.usableShare + 1e-6);
     CHECK(needed(routes, shares) >= 204 * settings.usableShare * 0.99);
     DOUBLES_EQUAL(1.0, shares.at(Issue), 1e-9);
@@ -175,11 +175,63 @@
 
 TEST(EntrancePlan, noKindStarvesBehindMoreImportantOnes)
 {
-    const auto shares = planEntrance(surge(4.5), slots, settings);
+    const auto shares = planEntrance(surge(4.5), slots, settings).shares;
     CHECK(shares.at(Audit) > 0.1);
     CHECK(shares.at(Issue) > shares.at(Lookup));
 }
 
+TEST(RequestCost, instancesOfUnequalSpeedFinishTheSumOfTheirRates)
+{
+    RequestCost cost;
+    cost.setRoute(Audit, {{Archive, 1.0}});
+    for (const double work : {0.72, 0.36, 0.36, 0.24}) { // Speeds 0.5, 1, 1 and 1.5.
+        NodeReport report = reportOf("a", Archive);
+        report.loads = {{Audit, 0, work}};
+        cost.addReport(report);
+    }
+    DOUBLES_EQUAL(0.36, cost.slotSeconds(Audit).at(Archive), 1e-9);
+}
+
+/// The plan's figures are off: it refuses although the archive has idle slots, or admits what queues up there.
+TEST_GROUP(RoomCorrection)
+{
+    RoomCorrection correction;
+
+    void rounds(int count, int running, int queued, const std::vector<ServiceName> &scarce)
+    {
+        NodeReport report = reportOf("a", Archive);
+        report.slots = 48;
+        report.running = running;
+        report.queued = queued;
+        for (int i = 0; i < count; ++i) {
+            correction.update({report}, scarce);
+        }
+    }
+};
+
+TEST(RoomCorrection, idleSlotsBehindRefusalsGiveMoreRoom)
+{
+    rounds(20, 30, 0, {Archive});
+    CHECK(correction.factor(Archive) > 1.5);
+    rounds(400, 30, 0, {Archive});
+    CHECK(correction.factor(Archive) <= 2.5);
+}
+
+TEST(RoomCorrection, aQueueTakesRoomAndItsEndGivesItBack)
+{
+    rounds(20, 48, 40, {});
+    CHECK(correction.factor(Archive) < 0.6);
+    rounds(40, 20, 0, {});
+    DOUBLES_EQUAL(1.0, correction.factor(Archive), 1e-9);
+}
+
+TEST(RoomCorrection, withoutRefusalsIdleSlotsChangeNothing)
+{
+    rounds(50, 10, 0, {});
+    DOUBLES_EQUAL(1.0, correction.factor(Archive), 1e-9);
+    DOUBLES_EQUAL(1.0, correction.factor(ServiceName("unknown")), 1e-9);
+}
+
 TEST_GROUP(EntranceShedder){};
 
 TEST(EntranceShedder, admitsTheShareForEachWorkspace)
--- a/src/model/tests/headers_tests.cpp
+++ b/src/model/tests/headers_tests.cpp
@@ -9,11 +9,11 @@
 #include "documents/ikeyring.h"
 #include "membership/imembership.h"
 #include "metrics/imetrics.h"
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
 #include "quota/iquota.h"
 #include "routing/irouter.h"
 #include "statechart/statechart.h"
+#include "store/iobjectstore.h"
+#include "store/itableservice.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/node/internal/burnarchive.h
+++ b/src/node/internal/burnarchive.h
@@ -2,7 +2,7 @@
 
 #include "burn/burncollection.h"
 #include "node/inode.h"
-#include "platform/itableservice.h"
+#include "store/itableservice.h"
 
 #include <map>
 
--- a/src/node/nodesetup.h
+++ b/src/node/nodesetup.h
@@ -3,9 +3,9 @@
 #include "base/random.h"
 #include "metrics/imetrics.h"
 #include "node/inode.h"
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
 #include "statechart/statechart.h"
+#include "store/iobjectstore.h"
+#include "store/itableservice.h"
 
 #include <memory>
 
--- a/src/node/tests/fakes.h
+++ b/src/node/tests/fakes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "node/nodesetup.h"
-#include "platform/iexecutor.h"
+#include "store/iexecutor.h"
 
 namespace vanillatack {
 
--- a/src/node/tests/nodefleet.h
+++ b/src/node/tests/nodefleet.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "node/tests/fakes.h"
-#include "platform/platformsetup.h"
 #include "statechart/builtincharts.h"
+#include "store/platformsetup.h"
 #include "testing/manualexecutor.h"
 
 #include <CppUTest/TestHarness.h>
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -244,6 +244,7 @@
     }
     ++request.tries;
     request.node = node->node;
+    request.instance = node->instance;
     request.excluded.insert(node->node);
     CallRequest call = request.call;
     call.deadlineLeft = request.deadline - now;
@@ -363,6 +364,19 @@
                                   {"peer", request.node.value},
                                   {"attempts", std::to_string(request.arrived)}});
     }
+    if (!request.fromInstance) {
+        m_parts.decisions.record("egress.answered",
+                                 {{"id", request.attemptId},
+                                  {"route", request.route.value},
+                                  {"workspace", request.workspace.value},
+                                  {"status", std::to_string(reply.status)},
+                                  {"peer", request.node.value},
+                                  {"instance", request.instance},
+                                  {"attempts", std::to_string(request.arrived)},
+                                  {"spent_ms", milliseconds(m_parts.clock.now() - request.enteredAt)},
+                                  {"config", std::to_string(m_table.config().version)},
+                                  {"config_age_ms", freshnessText()}});
+    }
     HttpResponse response;
     response.status = reply.status;
     response.headers = std::move(reply.headers);
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -86,7 +86,8 @@
         EventLoop::TimerId timer = 0;
         CallRequest call;
         std::set<NodeName> excluded;
-        NodeName node; ///< Of the attempt under way.
+        NodeName node; ///< Of the attempt under way, or the last one.
+        std::string instance; ///< That the registry names for the node.
         OutgoingCallId outgoing;
         TicketId local; ///< When the own instance serves the attempt.
     };
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -184,7 +184,9 @@
             routes[route.name].rank = route.rank;
         }
     }
-    for (const NodeReport &report : m_parts.directory.reports(ReportLifetime, m_parts.clock.now())) {
+    const std::vector<NodeReport> reports = m_parts.directory.reports(ReportLifetime, m_parts.clock.now());
+    m_room.update(reports, m_scarce);
+    for (const NodeReport &report : reports) {
         cost.addReport(report);
         for (const RouteLoad &load : report.loads) {
             const auto route = routes.find(load.route);
@@ -202,10 +204,11 @@
     }
     std::map<ServiceName, double> slots;
     for (const auto &[service, count] : m_parts.directory.slots()) {
-        slots[service] = count;
+        slots[service] = count * m_room.factor(service);
     }
-    std::map<RouteName, double> shares = vanillatack::planEntrance(offered, slots, {});
-    for (const auto &[route, share] : shares) {
+    EntrancePlan plan = vanillatack::planEntrance(offered, slots, {});
+    m_scarce = std::move(plan.scarce);
+    for (const auto &[route, share] : plan.shares) {
         if (std::abs(share - m_parts.shedder.share(route)) < NotableChange) {
             continue;
         }
@@ -220,7 +223,7 @@
                                   {"offered_per_s", absl::StrFormat("%.1f", planned.offeredPerSecond)},
                                   {"slot_seconds", needs}});
     }
-    m_parts.shedder.setShares(std::move(shares));
+    m_parts.shedder.setShares(std::move(plan.shares));
 }
 
 void FleetControl::dealRates()
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -49,6 +49,8 @@
     std::uint64_t m_sequence = 0;
     bool m_leaving = false;
     TimePoint m_tickedAt;
+    RoomCorrection m_room;
+    std::vector<ServiceName> m_scarce; ///< Of the last plan.
     std::map<RouteName, double> m_offered; ///< Requests per second, exponentially weighted.
     std::map<NodeName, TimePoint> m_heardAt; ///< Last report, or registration.
 };
--- a/src/standin/internal/standinplatform.cpp
+++ b/src/standin/internal/standinplatform.cpp
@@ -2,8 +2,8 @@
 
 #include "base/random.h"
 #include "base/text.h"
-#include "platform/platformprotocol.h"
 #include "standin/internal/listener.h"
+#include "store/platformprotocol.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/standin/standinplatform.h
+++ b/src/standin/standinplatform.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/memorystore.h"
+#include "store/memorystore.h"
 
 #include <memory>
 #include <string>
--- a/src/standin/tests/documents_tests.cpp
+++ b/src/standin/tests/documents_tests.cpp
@@ -4,8 +4,8 @@
 #include <httplib.h>
 
 #include "documents/documentssetup.h"
-#include "platform/platformsetup.h"
 #include "standin/standinplatform.h"
+#include "store/platformsetup.h"
 #include "testing/manualexecutor.h"
 
 #include <CppUTest/TestHarness.h>
--- a/src/standin/tests/httpplatform_tests.cpp
+++ b/src/standin/tests/httpplatform_tests.cpp
@@ -1,11 +1,11 @@
-// The HTTP client of src/platform against the stand-in platform.
+// The HTTP client of src/store against the stand-in platform.
 
 // Before CppUTest, whose macro for new does not allow the placement new in <regex>.
 #include <httplib.h>
 
 #include "base/random.h"
-#include "platform/platformsetup.h"
 #include "standin/standinplatform.h"
+#include "store/platformsetup.h"
 #include "testing/manualexecutor.h"
 
 #include <CppUTest/TestHarness.h>
--- a/src/platform/internal/httpconnection.cpp
+++ b/src/store/internal/httpconnection.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/httpconnection.h"
+#include "store/internal/httpconnection.h"
 
 #include <utility>
 
--- a/src/platform/internal/httpconnection.h
+++ b/src/store/internal/httpconnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/internal/workerpool.h"
-#include "platform/platformsetup.h"
+#include "store/internal/workerpool.h"
+#include "store/platformsetup.h"
 
 #include <httplib.h>
 
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/store/internal/httpplatform.cpp
@@ -1,6 +1,6 @@
-#include "platform/internal/httpconnection.h"
-#include "platform/platformprotocol.h"
-#include "platform/platformsetup.h"
+#include "store/internal/httpconnection.h"
+#include "store/platformprotocol.h"
+#include "store/platformsetup.h"
 
 #include "base/text.h"
 
--- a/src/platform/internal/memoryplatform.cpp
+++ b/src/store/internal/memoryplatform.cpp
@@ -1,5 +1,5 @@
 #include "base/log.h"
-#include "platform/platformsetup.h"
+#include "store/platformsetup.h"
 
 #include <utility>
 
--- a/src/platform/internal/memorystore.cpp
+++ b/src/store/internal/memorystore.cpp
@@ -1,4 +1,4 @@
-#include "platform/memorystore.h"
+#include "store/memorystore.h"
 
 #include <set>
 
--- a/src/platform/internal/platformprotocol.cpp
+++ b/src/store/internal/platformprotocol.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformprotocol.h"
+#include "store/platformprotocol.h"
 
 #include "base/text.h"
 
--- a/src/platform/internal/workerpool.cpp
+++ b/src/store/internal/workerpool.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/workerpool.h"
+#include "store/internal/workerpool.h"
 
 #include <utility>
 
--- a/src/platform/memorystore.h
+++ b/src/store/memorystore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
+#include "store/iobjectstore.h"
+#include "store/itableservice.h"
 
 #include <map>
 #include <mutex>
--- a/src/platform/platformprotocol.h
+++ b/src/store/platformprotocol.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/itableservice.h"
+#include "store/itableservice.h"
 
 #include <string>
 #include <string_view>
--- a/src/platform/platformsetup.h
+++ b/src/store/platformsetup.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "platform/iexecutor.h"
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
-#include "platform/memorystore.h"
+#include "store/iexecutor.h"
+#include "store/iobjectstore.h"
+#include "store/itableservice.h"
+#include "store/memorystore.h"
 
 #include <memory>
 #include <string>
--- a/src/platform/tests/memoryplatform_tests.cpp
+++ b/src/store/tests/memoryplatform_tests.cpp
@@ -1,5 +1,5 @@
-#include "platform/platformprotocol.h"
-#include "platform/platformsetup.h"
+#include "store/platformprotocol.h"
+#include "store/platformsetup.h"
 #include "testing/manualexecutor.h"
 
 #include <CppUTest/TestHarness.h>
--- a/src/testing/manualexecutor.h
+++ b/src/testing/manualexecutor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/iexecutor.h"
+#include "store/iexecutor.h"
 
 #include <map>
 #include <mutex>
