--- a/src/fleet/tests/faketable.h
+++ b/src/fleet/tests/faketable.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace vanillatack {
 
--- a/src/proxy/internal/decisionlog.cpp
+++ b/src/proxy/internal/decisionlog.cpp
@@ -28,9 +28,10 @@
 
 } // namespace
 
-DecisionLog::DecisionLog(const IClock &clock, std::string node)
+DecisionLog::DecisionLog(const IClock &clock, std::string node, int descriptor)
     : m_clock(clock)
     , m_node(std::move(node))
+    , m_descriptor(descriptor)
 {
 }
 
@@ -63,12 +64,12 @@
 
 void DecisionLog::write(const std::string &line)
 {
-    if (!canTake(STDOUT_FILENO)) {
+    if (!canTake(m_descriptor)) {
         ++m_notTaken;
         return;
     }
     // A pipe that is ready takes PIPE_BUF bytes at once, which is more than a line.
-    if (::write(STDOUT_FILENO, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+    if (::write(m_descriptor, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
         ++m_notTaken;
     }
 }
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -113,6 +113,7 @@
     dealRates();
     removeSilentNodes();
     m_parts.decisions.flushCounts();
+    setGauges(report);
     const double nodes = static_cast<double>(m_parts.directory.nodes().size());
     const Duration needed =
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(nodes / ReportsPerSecond));
@@ -156,6 +157,19 @@
     return report;
 }
 
+void FleetControl::setGauges(const NodeReport &report)
+{
+    IMetrics &metrics = m_parts.metrics;
+    metrics.setGauge("config_version", static_cast<double>(m_egress.table().config().version));
+    metrics.setGauge("concurrency_limit", report.slots);
+    metrics.setGauge("running_requests", report.running);
+    metrics.setGauge("queued_requests", report.queued);
+    metrics.setGauge("draining", m_leaving ? 1 : 0);
+    metrics.setGauge("ready", joined() && !m_leaving ? 1 : 0);
+    const auto age = m_egress.freshness().age(m_parts.clock.elapsed());
+    metrics.setGauge("platform_silence_seconds", age ? std::chrono::duration<double>(*age).count() : -1);
+}
+
 void FleetControl::sendReports(const NodeReport &report)
 {
     for (const NodeEntry &node : m_parts.directory.nodes()) {
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -36,6 +36,7 @@
 
     void tick();
     NodeReport makeReport();
+    void setGauges(const NodeReport &report);
     void sendReports(const NodeReport &report);
     void planEntrance();
     void dealRates();
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -22,6 +22,11 @@
 /// How often queued calls are checked for the end of their wait.
 constexpr Duration QueuePoll = std::chrono::milliseconds(20);
 
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 class TrafficNode final : public ITrafficNode, private IPeerListener
 {
 public:
@@ -34,7 +39,7 @@
         : m_loop(loop)
         , m_clock(clock)
         , m_settings(settings)
-        , m_decisions(clock, settings.node.value)
+        , m_decisions(clock, settings.node.value, settings.logDescriptor)
         , m_ingress(loop, clock, m_settings, m_decisions, metrics)
         , m_directory(settings.zone)
         , m_rates(settings.node, settings.rateTolerance)
@@ -51,6 +56,7 @@
     }
 
     Result<void> start() override;
+    void updateSettings(const ProxySettings &settings) override;
     void applyConfig(TrafficConfig config) override;
     void confirmConfig(Duration storeClock, Duration sent, Duration received) override;
     void recordStoreReachable(bool reachable, const std::string &reason) override;
@@ -120,6 +126,20 @@
     return success();
 }
 
+void TrafficNode::updateSettings(const ProxySettings &settings)
+{
+    m_settings.keyGrace = settings.keyGrace;
+    m_settings.shutdownGrace = settings.shutdownGrace;
+    m_settings.retryPercent = settings.retryPercent;
+    m_settings.callRetryPercent = settings.callRetryPercent;
+    m_retries->setRatioPercent(settings.retryPercent);
+    m_callRetries->setRatioPercent(settings.callRetryPercent);
+    m_decisions.record("node.reload",
+                       {{"key_grace_ms", milliseconds(settings.keyGrace)},
+                        {"shutdown_grace_ms", milliseconds(settings.shutdownGrace)},
+                        {"retry_percent", std::to_string(settings.retryPercent)}});
+}
+
 void TrafficNode::applyConfig(TrafficConfig config)
 {
     if (config.version <= m_egress.table().config().version) {
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -38,6 +38,7 @@
     /// the repeated calls of each hop add up at the deepest service.
     int callRetryPercent = 2;
     int freeRetries = 0; ///< Further repeated attempts of this node, in ten seconds.
+    int logDescriptor = 1; ///< Where decisions are written; standard output.
 };
 
 } // namespace vanillatack
--- /dev/null
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -0,0 +1,509 @@
+#include "fleet/tests/faketable.h"
+#include "metrics/metricssetup.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "proxy/decisionlog.h"
+#include "proxy/trafficnode.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Ends a test that hangs; far above what any step takes, so that no verdict depends on speed.
+constexpr Duration HangLimit = 60s;
+
+/// The real clock, with a suspension that the test adds.
+class PausedClock final : public IClock
+{
+public:
+    [[nodiscard]] TimePoint now() const override
+    {
+        return m_system.now();
+    }
+    [[nodiscard]] Duration elapsed() const override
+    {
+        return m_system.elapsed() + suspended;
+    }
+    [[nodiscard]] WallTime wallNow() const override
+    {
+        return m_system.wallNow();
+    }
+
+    Duration suspended{0};
+
+private:
+    SystemClock m_system;
+};
+
+/// A table service that answers at once, shared by the nodes of a test.
+class SharedTable final : public IVersionedTable
+{
+public:
+    explicit SharedTable(EventLoop &loop)
+        : m_loop(loop)
+    {
+    }
+
+    void read(const std::string &table, const std::string &fromKey, TableCompletion completion) override
+    {
+        m_loop.callAfter(0ms, [this, table, fromKey, completion] {
+            m_fake.read(table, fromKey, completion);
+            m_fake.answer();
+        });
+    }
+
+    void watch(const std::string &table, std::uint64_t after, Duration wait, TableCompletion completion) override
+    {
+        m_loop.callAfter(2ms, [this, table, after, wait, completion] {
+            if (m_fake.version <= after) {
+                watch(table, after, wait, completion);
+                return;
+            }
+            m_fake.watch(table, after, wait, completion);
+            m_fake.answer();
+        });
+    }
+
+    void write(const ConditionalWrite &write, TableCompletion completion) override
+    {
+        m_loop.callAfter(0ms, [this, write, completion] {
+            m_fake.write(write, completion);
+            m_fake.answer();
+        });
+    }
+
+private:
+    EventLoop &m_loop;
+    FakeTable m_fake;
+};
+
+EdgeHeaders headerNames()
+{
+    return {.attemptId = "Attempt",
+            .timeLeft = "Time-Left",
+            .key = "Key",
+            .workspace = "Workspace",
+            .callerService = "Caller-Service",
+            .expectedInstance = "Expected",
+            .notExecuted = "Not-Executed",
+            .signature = "Signature"};
+}
+
+/// An instance whose answer the test chooses.
+class FakeInstance final : public IHttpListener
+{
+public:
+    explicit FakeInstance(EventLoop &loop)
+        : server(makeHttpServer(loop, *this))
+    {
+        if (const auto opened = server->listen({"127.0.0.1", 0}); !opened) {
+            FAIL("no port for an instance");
+        }
+    }
+
+    void onRequest(ExchangeId exchange, HttpRequest request, const std::string & /*peer*/) override
+    {
+        requests.push_back(request);
+        exchanges.push_back(exchange);
+        if (silent) {
+            return;
+        }
+        HttpResponse response = answer;
+        response.headers.emplace_back("Attempt", request.header("Attempt"));
+        server->respond(exchange, response);
+    }
+
+    void onCallerGone(ExchangeId exchange) override
+    {
+        gone.push_back(exchange);
+    }
+
+    std::unique_ptr<IHttpServer> server;
+    HttpResponse answer = success();
+    bool silent = false;
+    std::vector<HttpRequest> requests;
+    std::vector<ExchangeId> exchanges;
+    std::vector<ExchangeId> gone;
+
+    static HttpResponse success()
+    {
+        HttpResponse response;
+        response.status = 200;
+        response.headers = {{"Signature", "s1"}};
+        response.body = "whole";
+        return response;
+    }
+};
+
+std::string headerOf(const HeaderList &headers, const std::string &name)
+{
+    HttpRequest holder;
+    holder.headers = headers;
+    return holder.header(name);
+}
+
+std::uint16_t freePort(EventLoop &loop)
+{
+    boost::asio::ip::tcp::acceptor acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+} // namespace
+
+/// Two nodes, "near" and "far", in one loop; only the far one has an instance of the service "parts".
+TEST_GROUP(TrafficNode)
+{
+    EventLoop loop;
+    PausedClock clock;
+    SeededRandom random{1};
+    SharedTable table{loop};
+    MetricsSetup metrics;
+    int logDescriptor = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    FakeInstance nearInstance{loop};
+    FakeInstance farInstance{loop};
+    std::unique_ptr<ITrafficNode> nearNode;
+    std::unique_ptr<ITrafficNode> farNode;
+    Endpoint callers;
+    std::unique_ptr<IHttpClient> client = makeHttpClient(loop, {});
+    std::vector<ClientResult> results;
+
+    void setup() override
+    {
+        nearNode = makeNode("near", "desk", nearInstance, callers);
+        Endpoint unused;
+        farNode = makeNode("far", "parts", farInstance, unused);
+        CHECK(nearNode->start().has_value());
+        CHECK(farNode->start().has_value());
+    }
+
+    void teardown() override
+    {
+        close(logDescriptor);
+    }
+
+    std::unique_ptr<ITrafficNode> makeNode(
+        const std::string &name, const std::string &service, FakeInstance &instance, Endpoint &callersOut)
+    {
+        ProxySettings settings;
+        settings.node = NodeName(name);
+        settings.zone = ZoneName("z");
+        settings.service = ServiceName(service);
+        settings.callers = {"127.0.0.1", freePort(loop)};
+        settings.peers = {"127.0.0.1", freePort(loop)};
+        settings.instance = {"127.0.0.1", instance.server->port()};
+        settings.headers = headerNames();
+        settings.logDescriptor = logDescriptor;
+        settings.keyGrace = 100s;
+        settings.announceInterval = 100s;
+        callersOut = settings.callers;
+        return makeTrafficNode(loop, clock, random, table, metrics.metrics(), settings);
+    }
+
+    template<class Condition>
+    bool runUntil(Condition condition)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        while (!condition() && std::chrono::steady_clock::now() - start < HangLimit) {
+            loop.context().restart();
+            loop.context().run_for(1ms);
+        }
+        return condition();
+    }
+
+    static TrafficConfig config(std::uint64_t version)
+    {
+        TrafficRoute read;
+        read.name = RouteName("read");
+        read.prefix = "/read/";
+        read.services = {{ServiceName("parts"), 1}};
+        read.idempotent = true;
+        read.maxAttempts = 2;
+        read.timeout = 30s;
+        TrafficRoute write = read;
+        write.name = RouteName("write");
+        write.prefix = "/write/";
+        write.idempotent = false;
+        TrafficRoute open = read;
+        open.name = RouteName("open");
+        open.prefix = "/open/";
+        open.open = true;
+        TrafficConfig result;
+        result.version = version;
+        result.hosts = {{"shop", {read, write, open}}};
+        result.workspaces.push_back({.name = WorkspaceName("acme"), .keys = {"k1"}, .rank = std::nullopt});
+        return result;
+    }
+
+    InstanceAnnouncement announcement(const std::string &service, const FakeInstance &instance, bool draining = false)
+    {
+        InstanceAnnouncement result;
+        result.id = "i-" + service;
+        result.startedAtMs = 5;
+        result.sequence = ++sequence;
+        result.service = ServiceName(service);
+        result.address = {"127.0.0.1", instance.server->port()};
+        result.slots = 10;
+        result.draining = draining;
+        return result;
+    }
+
+    void bringUp()
+    {
+        for (ITrafficNode *node : {nearNode.get(), farNode.get()}) {
+            node->applyConfig(config(3));
+            node->confirmConfig(100s, clock.elapsed(), clock.elapsed());
+        }
+        farNode->announce(announcement("parts", farInstance));
+        // Until the near node knows where the service is.
+        CHECK(runUntil([this] {
+            return send("GET", "/open/up").response.status == 200;
+        }));
+        farInstance.requests.clear();
+        farInstance.exchanges.clear();
+    }
+
+    ClientCallId start(const std::string &method, const std::string &target, HeaderList headers = {})
+    {
+        HttpRequest request;
+        request.method = method;
+        request.target = target;
+        request.headers = {{"Host", "shop"}, {"Attempt", "a" + std::to_string(++attempts)}};
+        request.headers.insert(request.headers.end(), headers.begin(), headers.end());
+        return client->send(callers, request, HangLimit, {}, [this](ClientResult result) {
+            results.push_back(std::move(result));
+        });
+    }
+
+    ClientResult send(const std::string &method, const std::string &target, HeaderList headers = {})
+    {
+        const std::size_t before = results.size();
+        start(method, target, std::move(headers));
+        runUntil([&] {
+            return results.size() > before;
+        });
+        return results.back();
+    }
+
+    std::int64_t sequence = 0;
+    int attempts = 0;
+};
+
+TEST(TrafficNode, withoutConfigurationNothingIsDenied)
+{
+    LONGS_EQUAL(503, send("GET", "/read/1", {{"Key", "k1"}}).response.status);
+    CHECK(!nearNode->isReady());
+}
+
+TEST(TrafficNode, aRequestReachesTheInstanceOfAnotherNode)
+{
+    bringUp();
+    const ClientResult result =
+        send("POST", "/write/7?x=1", {{"Key", "k1"}, {"Workspace", "forged"}, {"Caller-Service", "forged"}});
+    LONGS_EQUAL(200, result.response.status);
+    STRCMP_EQUAL("whole", result.response.body.c_str());
+    STRCMP_EQUAL("s1", headerOf(result.response.headers, "Signature").c_str());
+    const HttpRequest &seen = farInstance.requests.at(0);
+    STRCMP_EQUAL("/write/7?x=1", seen.target.c_str());
+    STRCMP_EQUAL("", seen.header("Key").c_str());
+    STRCMP_EQUAL("acme", seen.header("Workspace").c_str());
+    STRCMP_EQUAL("desk", seen.header("Caller-Service").c_str());
+    STRCMP_EQUAL("i-parts", seen.header("Expected").c_str());
+    CHECK(std::stoi(seen.header("Time-Left")) <= 30000);
+    CHECK(nearNode->isReady());
+}
+
+TEST(TrafficNode, unknownRoutesAndKeysAreDenied)
+{
+    bringUp();
+    LONGS_EQUAL(404, send("GET", "/none/", {{"Key", "k1"}}).response.status);
+    LONGS_EQUAL(401, send("GET", "/read/1", {{"Key", "k2"}}).response.status);
+    LONGS_EQUAL(401, send("GET", "/read/1").response.status);
+    LONGS_EQUAL(0, farInstance.requests.size());
+}
+
+TEST(TrafficNode, keysNeedAFreshConfigurationAlsoAfterASuspension)
+{
+    bringUp();
+    LONGS_EQUAL(200, send("GET", "/read/1", {{"Key", "k1"}}).response.status);
+    clock.suspended = 101s;
+    LONGS_EQUAL(503, send("GET", "/read/1", {{"Key", "k1"}}).response.status);
+    LONGS_EQUAL(200, send("GET", "/open/1").response.status);
+    nearNode->confirmConfig(201s, clock.elapsed(), clock.elapsed());
+    LONGS_EQUAL(200, send("GET", "/read/1", {{"Key", "k1"}}).response.status);
+}
+
+TEST(TrafficNode, olderConfigurationsAreIgnored)
+{
+    bringUp();
+    TrafficConfig older = config(2);
+    older.hosts.clear();
+    nearNode->applyConfig(older);
+    LONGS_EQUAL(200, send("GET", "/open/1").response.status);
+}
+
+TEST(TrafficNode, aLeavingInstanceGetsNothingAndTheCallerATrueRefusal)
+{
+    bringUp();
+    farNode->announce(announcement("parts", farInstance, true));
+    const ClientResult result = send("POST", "/write/7", {{"Key", "k1"}});
+    LONGS_EQUAL(503, result.response.status);
+    CHECK(!headerOf(result.response.headers, "Retry-After").empty());
+    LONGS_EQUAL(0, farInstance.requests.size());
+}
+
+TEST(TrafficNode, anInstanceThatDidNotRunItLeadsToARefusal)
+{
+    bringUp();
+    farInstance.answer = {};
+    farInstance.answer.status = 503;
+    farInstance.answer.headers = {{"Not-Executed", "1"}};
+    LONGS_EQUAL(503, send("POST", "/write/7", {{"Key", "k1"}}).response.status);
+    LONGS_EQUAL(1, farInstance.requests.size());
+}
+
+TEST(TrafficNode, anotherInstanceAtTheAddressLeadsToARefusal)
+{
+    bringUp();
+    farInstance.answer = {};
+    farInstance.answer.status = 421;
+    LONGS_EQUAL(503, send("POST", "/write/7", {{"Key", "k1"}}).response.status);
+    LONGS_EQUAL(1, farInstance.requests.size());
+}
+
+TEST(TrafficNode, anAnswerWithoutSignatureIsNoSuccess)
+{
+    bringUp();
+    farInstance.answer.headers.clear();
+    LONGS_EQUAL(502, send("POST", "/write/7", {{"Key", "k1"}}).response.status);
+    LONGS_EQUAL(1, farInstance.requests.size());
+}
+
+TEST(TrafficNode, aFailureOfTheInstanceIsPassedOn)
+{
+    bringUp();
+    farInstance.answer.status = 500;
+    const ClientResult result = send("POST", "/write/7", {{"Key", "k1"}});
+    LONGS_EQUAL(500, result.response.status);
+    STRCMP_EQUAL("s1", headerOf(result.response.headers, "Signature").c_str());
+    LONGS_EQUAL(1, farInstance.requests.size());
+}
+
+TEST(TrafficNode, theTimeLeftEndsARequestWithoutAPromise)
+{
+    bringUp();
+    farInstance.silent = true;
+    LONGS_EQUAL(504, send("POST", "/write/7", {{"Key", "k1"}, {"Time-Left", "40"}}).response.status);
+}
+
+TEST(TrafficNode, aCallerThatLeavesEndsIdempotentWork)
+{
+    bringUp();
+    farInstance.silent = true;
+    const ClientCallId read = start("GET", "/read/1", {{"Key", "k1"}});
+    CHECK(runUntil([this] {
+        return farInstance.exchanges.size() == 1;
+    }));
+    client->cancel(read);
+    CHECK(runUntil([this] {
+        return farInstance.gone.size() == 1;
+    }));
+}
+
+TEST(TrafficNode, shutdownFinishesWhatHasBegun)
+{
+    bringUp();
+    farInstance.silent = true;
+    start("POST", "/write/7", {{"Key", "k1"}});
+    CHECK(runUntil([this] {
+        return farInstance.exchanges.size() == 1;
+    }));
+    bool stopped = false;
+    nearNode->shutDown([&stopped] {
+        stopped = true;
+    });
+    CHECK(!nearNode->isReady());
+    HttpResponse response = FakeInstance::success();
+    response.headers.emplace_back("Attempt", farInstance.requests.at(0).header("Attempt"));
+    farInstance.server->respond(farInstance.exchanges.at(0), response);
+    const std::size_t before = results.size();
+    CHECK(runUntil([&] {
+        return results.size() > before;
+    }));
+    LONGS_EQUAL(200, results.back().response.status);
+    CHECK(results.back().response.closeConnection);
+    CHECK(runUntil([&stopped] {
+        return stopped;
+    }));
+}
+
+TEST_GROUP(DecisionLog)
+{
+    ManualClock clock;
+    int ends[2] = {-1, -1};
+
+    void setup() override
+    {
+        CHECK(pipe(ends) == 0);
+        fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    }
+
+    void teardown() override
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+    std::string readAll()
+    {
+        std::string text;
+        char chunk[4096];
+        for (ssize_t bytes = 0; (bytes = read(ends[0], chunk, sizeof chunk)) > 0;) {
+            text.append(chunk, static_cast<std::size_t>(bytes));
+        }
+        return text;
+    }
+};
+
+TEST(DecisionLog, writesFieldsAndQuotesWhatNeedsIt)
+{
+    DecisionLog log(clock, "n1", ends[1]);
+    log.record("egress.rejected", {{"id", "a1"}, {"reason", "two words"}, {"workspace", ""}});
+    STRCMP_CONTAINS(" node=n1 decision=egress.rejected id=a1 reason=\"two words\" workspace=\"\"\n", readAll().c_str());
+}
+
+TEST(DecisionLog, aFloodOfOneKindIsCountedAndLeavesRoomForOthers)
+{
+    DecisionLog log(clock, "n1", ends[1]);
+    for (int i = 0; i < 1000; ++i) {
+        log.record("ingress.refused", {{"id", "a" + std::to_string(i)}});
+    }
+    log.record("egress.gave-up", {{"id", "b1"}});
+    log.flushCounts();
+    const std::string text = readAll();
+    STRCMP_CONTAINS("id=a19\n", text.c_str());
+    CHECK(text.find("id=a20\n") == std::string::npos);
+    STRCMP_CONTAINS("id=b1\n", text.c_str());
+    STRCMP_CONTAINS("decision=log.left-out kind=ingress.refused count=980\n", text.c_str());
+    clock.advance(1s);
+    log.record("ingress.refused", {{"id", "c1"}});
+    STRCMP_CONTAINS("id=c1\n", readAll().c_str());
+}
+
+TEST(DecisionLog, aReaderThatStandsStillBlocksNothing)
+{
+    DecisionLog log(clock, "n1", ends[1]);
+    for (int i = 0; i < 4000; ++i) {
+        log.record("kind" + std::to_string(i), {{"id", std::string(200, 'x')}});
+    }
+    readAll();
+    log.flushCounts();
+    STRCMP_CONTAINS("decision=log.not-taken count=", readAll().c_str());
+}
--- a/src/proxy/trafficnode.h
+++ b/src/proxy/trafficnode.h
@@ -24,6 +24,9 @@
     /// Opens the ports and joins the fleet. Errors: Unavailable when an address cannot be bound.
     virtual Result<void> start() = 0;
 
+    /// Takes times and limits from changed settings. Addresses and names hold until the next start.
+    virtual void updateSettings(const ProxySettings &settings) = 0;
+
     /// Takes a version of the configuration. Older ones than the one in force are ignored.
     virtual void applyConfig(TrafficConfig config) = 0;
 
--- a/src/tool/internal/tool.cpp
+++ b/src/tool/internal/tool.cpp
@@ -139,6 +139,7 @@
     addFleetCommands(app, context);
     addKeyCommands(app, context);
     addNodeCommands(app, context);
+    addExplainCommand(app, context);
     addReportCommand(app, context);
     try {
         app.parse(std::vector<std::string>(arguments.rbegin(), arguments.rend()));
--- a/src/tool/internal/toolcontext.h
+++ b/src/tool/internal/toolcontext.h
@@ -54,5 +54,6 @@
 void addFleetCommands(CLI::App &app, ToolContext &context);
 void addNodeCommands(CLI::App &app, ToolContext &context);
 void addReportCommand(CLI::App &app, ToolContext &context);
+void addExplainCommand(CLI::App &app, ToolContext &context);
 
 } // namespace vanillatack
--- a/src/tool/tests/tool_tests.cpp
+++ b/src/tool/tests/tool_tests.cpp
@@ -123,6 +123,45 @@
     }
 };
 
+namespace {
+
+const std::string NodeLog =
+    "t=10.000 node=n1 decision=config.applied config=3 before=0\n"
+    "t=11.000 node=n1 decision=entrance.share route=r1 share=0.75 offered_per_s=900.0 slot_seconds=\"archive:0.2/204,\"\n"
+    "t=11.500 node=n1 decision=entrance.share route=r2 share=0.10\n"
+    "t=11.600 node=n2 decision=store.lost reason=refused\n"
+    "some other program's line\n"
+    "  12.1 n1 t=12.100 node=n1 decision=egress.rejected id=a1 status=503 reason=overloaded route=r1 share=0.75\n"
+    "t=13.000 node=n1 decision=entrance.share route=r1 share=1.00\n"
+    "t=13.500 node=n1 decis";
+
+} // namespace
+
+TEST(Tool, explainShowsTheDecisionAndWhatLedToIt)
+{
+    {
+        std::ofstream log("/tmp/vt_explain_test.log");
+        log << NodeLog;
+    }
+    LONGS_EQUAL(0, run({"explain", "a1", "--logs", "/tmp/vt_explain_test.log"}));
+    std::remove("/tmp/vt_explain_test.log");
+    STRCMP_CONTAINS("t=12.100 node=n1 decision=egress.rejected id=a1", out.c_str());
+    STRCMP_CONTAINS("1.1 s before: t=11.000 node=n1 decision=entrance.share route=r1 share=0.75", out.c_str());
+    STRCMP_CONTAINS("config=3", out.c_str());
+    CHECK(out.find("share=1.00") == std::string::npos);
+    CHECK(out.find("route=r2") == std::string::npos);
+    CHECK(out.find("node=n2") == std::string::npos);
+    STRCMP_CONTAINS("2 lines are no decisions or are cut off", err.c_str());
+}
+
+TEST(Tool, explainNamesWhatIsMissing)
+{
+    CHECK(run({"explain", "a1", "--logs", "/tmp/vt_no_such.log"}) != 0);
+    STRCMP_CONTAINS("/tmp/vt_no_such.log cannot be read", err.c_str());
+    CHECK(run({"explain", "a9"}) != 0);
+    STRCMP_CONTAINS("No decision names the request a9", err.c_str());
+}
+
 // Guards against commands without help, and against wrong usage that scripts take for success.
 TEST(Tool, everyCommandHasHelpAndWrongUsageIsStatus2)
 {
