--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -246,6 +246,7 @@
     if (request.tries == 0) {
         retryBudget(request).recordFirstAttempt(request.service);
     }
+    m_parts.metrics.countAttempt(request.service, request.tries > 0);
     ++request.tries;
     request.node = node->node;
     request.instance = node->instance;
