Refuse calls that a cut held up beyond their deadline

Calls and probes now carry the sender's clock; what a frame took beyond the shortest way is taken off the time left, and a call without time left is refused, not run. Test with a held-up frame; failed first.

--- a/src/gate/workgate.h
+++ b/src/gate/workgate.h
@@ -73,7 +73,7 @@
     struct QueueKey {
         bool newWork = false;
         int rank = 0;
-        auto operator<=>(const QueueKey &) const = default;
+        auto operator<=>(const QueueKey &) const = default; // NOLINT(modernize-use-nullptr): as in model/ids.h
     };
     struct Waiting {
         GateRequest request;
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -30,6 +30,7 @@
     std::string body;
     int rank = 0; ///< Importance among requests of the same gate; 0 is served first, at most 255.
     std::string instance; ///< Id of the instance that the sender means; empty for any.
+    Duration sentAt{0}; ///< On the sender's clock; tells how long the request was under way.
 };
 
 /// The reply to a CallRequest: an answer of the upstream, or a refusal.
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -61,6 +61,14 @@
         bool connecting = false;
     };
 
+    /// A connection that another node has opened.
+    struct Caller {
+        std::map<std::uint64_t, PeerCallId> calls;
+        /// Smallest difference seen of this node's clock and the stamps of frames: the clocks' difference and the
+        /// shortest time under way. What a frame has above it, it was held up.
+        std::optional<Duration> clockDifference;
+    };
+
     struct Incoming {
         FramePointer connection;
         std::uint64_t requestId = 0; ///< As chosen by the calling node.
@@ -73,6 +81,8 @@
     void onPeerFrame(const Endpoint &node, Frame frame);
     void onCallerFrame(const FramePointer &connection, Frame frame);
     void abandonCalls(const FramePointer &connection);
+    Duration heldUp(Caller &caller, Duration sentAt) const;
+    void refuseLate(const FramePointer &connection, const CallRequest &request);
     void failPeer(const Endpoint &node);
     void watch(const Endpoint &node);
     void complete(OutgoingCallId call, PeerCallEnd end, CallReply reply);
@@ -89,7 +99,7 @@
     std::map<Endpoint, Peer> m_peers;
     absl::flat_hash_map<OutgoingCallId, Outgoing> m_outgoing;
     absl::flat_hash_map<PeerCallId, Incoming> m_incoming;
-    std::map<FramePointer, std::map<std::uint64_t, PeerCallId>> m_callers;
+    std::map<FramePointer, Caller> m_callers;
 };
 
 Result<void> PeerLink::listen(const Endpoint &endpoint)
@@ -177,6 +187,7 @@
 {
     const OutgoingCallId id{++m_lastId};
     request.requestId = id.value;
+    request.sentAt = m_clock.elapsed();
     m_outgoing.emplace(id, Outgoing{node, std::move(completion), false});
     Peer &peer = m_peers[node];
     if (peer.connection && peer.connection->backlog() > BacklogLimit) {
@@ -229,6 +240,8 @@
                            [this, node] {
                                failPeer(node);
                            }});
+    // Gives the other node a stamp that was not held up, before calls that waited for the connection.
+    connection->send(LinkProbe{.sequence = ++m_lastId, .answer = false, .sentAt = m_clock.elapsed()});
     for (auto &[id, request] : peer.waiting) {
         m_outgoing[id].sent = true;
         peer.out[id] = true;
@@ -256,7 +269,7 @@
         }
         if (!peer.out.empty() && silence > m_settings.probeInterval) {
             peer.probedAt = m_clock.now();
-            peer.connection->send(LinkProbe{.sequence = ++m_lastId, .answer = false});
+            peer.connection->send(LinkProbe{.sequence = ++m_lastId, .answer = false, .sentAt = m_clock.elapsed()});
         }
         watch(node);
     });
@@ -315,27 +328,51 @@
 void PeerLink::onCallerFrame(const FramePointer &connection, Frame frame)
 {
     if (auto *request = std::get_if<CallRequest>(&frame)) {
+        request->deadlineLeft -= heldUp(m_callers[connection], request->sentAt);
+        if (request->deadlineLeft <= Duration{0}) {
+            refuseLate(connection, *request);
+            return;
+        }
         const PeerCallId id{++m_lastId};
         m_incoming.emplace(id, Incoming{connection, request->requestId});
-        m_callers[connection][request->requestId] = id;
+        m_callers[connection].calls[request->requestId] = id;
         m_listener.onCall(id, std::move(*request));
     } else if (const auto *cancel = std::get_if<CallCancel>(&frame)) {
-        const auto call = m_callers[connection].extract(cancel->requestId);
+        const auto call = m_callers[connection].calls.extract(cancel->requestId);
         if (!call.empty() && m_incoming.erase(call.mapped()) == 1) {
             m_listener.onCallAbandoned(call.mapped());
         }
     } else if (const auto *probe = std::get_if<LinkProbe>(&frame)) {
-        connection->send(LinkProbe{.sequence = probe->sequence, .answer = true});
+        heldUp(m_callers[connection], probe->sentAt);
+        connection->send(LinkProbe{.sequence = probe->sequence, .answer = true, .sentAt = m_clock.elapsed()});
     }
 }
 
+/// How long a frame was under way beyond the usual, as when the network between two nodes was cut and healed.
+Duration PeerLink::heldUp(Caller &caller, Duration sentAt) const
+{
+    const Duration difference = m_clock.elapsed() - sentAt;
+    caller.clockDifference = std::min(caller.clockDifference.value_or(difference), difference);
+    return difference - *caller.clockDifference;
+}
+
+void PeerLink::refuseLate(const FramePointer &connection, const CallRequest &request)
+{
+    LinkLog.warning("A call was held up until its deadline had passed; it is refused.", {{"id", request.rootId}});
+    CallReply reply;
+    reply.requestId = request.requestId;
+    reply.refusal = RefusalKind::DeadlineExceeded;
+    reply.runState = RunState::NotRun;
+    connection->send(reply);
+}
+
 void PeerLink::abandonCalls(const FramePointer &connection)
 {
     const auto calls = m_callers.extract(connection);
     if (calls.empty()) {
         return;
     }
-    for (const auto &[requestId, id] : calls.mapped()) {
+    for (const auto &[requestId, id] : calls.mapped().calls) {
         if (m_incoming.erase(id) == 1) {
             m_listener.onCallAbandoned(id);
         }
@@ -350,7 +387,7 @@
     }
     const Incoming incoming = entry->second;
     m_incoming.erase(entry);
-    m_callers[incoming.connection].erase(incoming.requestId);
+    m_callers[incoming.connection].calls.erase(incoming.requestId);
     reply.requestId = incoming.requestId;
     incoming.connection->send(reply);
 }
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/peerlink.h"
+#include "wire/codec.h"
 
 #include <boost/asio/write.hpp>
 
@@ -444,6 +445,7 @@
         CallRequest request;
         request.body = body;
         request.rank = 3;
+        request.deadlineLeft = HangLimit;
         request.instance = "i-1";
         return linkA->call(addressB, request, [this](PeerCallEnd end, CallReply reply) {
             ends.emplace_back(end, std::move(reply));
@@ -475,6 +477,37 @@
     STRCMP_EQUAL("body0", ends.back().second.body.c_str());
 }
 
+namespace {
+
+/// A frame as it goes over a connection, with its length in front.
+std::string framed(const Frame &frame)
+{
+    const std::string bytes = encodeFrame(frame);
+    const auto length = static_cast<std::uint32_t>(bytes.size());
+    return std::string(reinterpret_cast<const char *>(&length), sizeof length) + bytes;
+}
+
+} // namespace
+
+TEST(PeerLink, aCallThatACutHeldUpBeyondItsDeadlineDoesNotRun)
+{
+    const Duration senderNow = 500s; // The sender's clock has another origin.
+    CallRequest late;
+    late.requestId = 1;
+    late.sentAt = senderNow - 3s;
+    late.deadlineLeft = 1s;
+    CallRequest inTime = late;
+    inTime.requestId = 2;
+    inTime.deadlineLeft = 100s;
+    RawConnection sender(loop, addressB.port);
+    sender.send(framed(LinkProbe{.sequence = 1, .answer = false, .sentAt = senderNow}) + framed(late) + framed(inTime));
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 1;
+    }));
+    LONGS_EQUAL(2, listenerB.calls[0].second.requestId);
+    CHECK(listenerB.calls[0].second.deadlineLeft <= 97s);
+}
+
 TEST(PeerLink, cancelReachesTheOtherNode)
 {
     const OutgoingCallId id = call("x");
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -40,6 +40,7 @@
 struct LinkProbe {
     std::uint64_t sequence = 0;
     bool answer = false;
+    Duration sentAt{0}; ///< On the sender's clock.
 };
 
 /// Everything that is sent between nodes.
--- a/src/wire/internal/callcodec.cpp
+++ b/src/wire/internal/callcodec.cpp
@@ -60,6 +60,7 @@
     out.setBody(toData(in.body));
     out.setRank(static_cast<std::uint8_t>(in.rank));
     out.setInstance(in.instance);
+    out.setSentAtNs(in.sentAt.count());
 }
 
 CallRequest readCallRequest(schema::CallRequest::Reader in)
@@ -82,6 +83,7 @@
     out.body = toString(in.getBody());
     out.rank = in.getRank();
     out.instance = toString(in.getInstance());
+    out.sentAt = Duration(in.getSentAtNs());
     return out;
 }
 
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -60,6 +60,7 @@
     auto probe = out.initLinkProbe();
     probe.setSequence(in.sequence);
     probe.setAnswer(in.answer);
+    probe.setSentAtNs(in.sentAt.count());
 }
 
 void writeContent(schema::Frame::Builder out, const NodeReport &in)
@@ -85,7 +86,8 @@
     case schema::Frame::CALL_CANCEL:
         return CallCancel{in.getCallCancel().getRequestId()};
     case schema::Frame::LINK_PROBE:
-        return LinkProbe{in.getLinkProbe().getSequence(), in.getLinkProbe().getAnswer()};
+        return LinkProbe{
+            in.getLinkProbe().getSequence(), in.getLinkProbe().getAnswer(), Duration(in.getLinkProbe().getSentAtNs())};
     case schema::Frame::NODE_REPORT:
         return readNodeReport(in.getNodeReport());
     }
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -33,6 +33,7 @@
   body @14 :Data;
   rank @15 :UInt8;
   instance @16 :Text;
+  sentAtNs @17 :Int64;
 }
 
 struct CallReply {
@@ -211,6 +212,7 @@
 struct LinkProbe {
   sequence @0 :UInt64;
   answer @1 :Bool;
+  sentAtNs @2 :Int64;
 }
 
 struct RouteLoad {
