Reset connections between nodes that stay silent after a cancellation

Silence after a cancellation now counts, and a silent connection is reset, which loses what is on the way.

--- a/src/net/internal/frameconnection.cpp
+++ b/src/net/internal/frameconnection.cpp
@@ -107,6 +107,13 @@
     return m_socket.is_open();
 }
 
+void FrameConnection::abort()
+{
+    error_code ignored; // A socket that is closed already has nothing on the way.
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void FrameConnection::close()
 {
     error_code ignored; // Closing an already closed socket is harmless.
--- a/src/net/internal/frameconnection.h
+++ b/src/net/internal/frameconnection.h
@@ -25,6 +25,9 @@
     void send(const Frame &frame);
     void close();
 
+    /// Closes with a reset, so that bytes on the way are lost instead of arriving after the network has healed.
+    void abort();
+
     /// Bytes that wait to be written.
     [[nodiscard]] std::size_t backlog() const
     {
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -58,6 +58,7 @@
         std::map<OutgoingCallId, CallRequest> waiting; ///< Until the connection is there.
         std::map<OutgoingCallId, bool> out;
         TimePoint probedAt;
+        TimePoint cancelledAt; ///< Last cancellation; whether it arrived is known once the node is heard again.
         bool connecting = false;
     };
 
@@ -261,13 +262,14 @@
         }
         Peer &peer = entry->second;
         const Duration silence = m_clock.now() - peer.connection->lastHeard();
-        if (!peer.out.empty() && silence > m_settings.silenceTimeout
+        const bool expecting = !peer.out.empty() || peer.cancelledAt >= peer.connection->lastHeard();
+        if (expecting && silence > m_settings.silenceTimeout
             && m_clock.now() - peer.probedAt < m_settings.silenceTimeout) {
             LinkLog.warning("A node does not answer; its connection is closed.", {{"node", node.text()}});
-            peer.connection->close();
+            peer.connection->abort();
             return;
         }
-        if (!peer.out.empty() && silence > m_settings.probeInterval) {
+        if (expecting && silence > m_settings.probeInterval) {
             peer.probedAt = m_clock.now();
             peer.connection->send(LinkProbe{.sequence = ++m_lastId, .answer = false, .sentAt = m_clock.elapsed()});
         }
@@ -321,6 +323,7 @@
     m_outgoing.erase(entry);
     peer.waiting.erase(call);
     if (peer.out.erase(call) == 1 && peer.connection) {
+        peer.cancelledAt = m_clock.now();
         peer.connection->send(CallCancel{call.value});
     }
 }
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -508,6 +508,31 @@
     CHECK(listenerB.calls[0].second.deadlineLeft <= 97s);
 }
 
+TEST(PeerLink, aConnectionThatStaysSilentAfterACancellationIsReset)
+{
+    // The network swallows everything from now on: the other end is a socket that is never read.
+    Tcp::acceptor acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
+    linkA = makePeerLink(loop, listenerA, {.probeInterval = 20ms, .silenceTimeout = 60ms});
+    addressB.port = acceptor.local_endpoint().port();
+    const OutgoingCallId id = call("x");
+    Tcp::socket silent(loop.context());
+    bool accepted = false;
+    acceptor.async_accept(silent, [&accepted](const boost::system::error_code & /*error*/) {
+        accepted = true;
+    });
+    CHECK(runUntil(loop, [&] {
+        return accepted && silent.available() > 0;
+    }));
+    linkA->cancel(id);
+    CHECK(runUntil(loop, [&] {
+        boost::system::error_code error;
+        std::array<char, 1> byte{};
+        silent.non_blocking(true);
+        silent.receive(boost::asio::buffer(byte), Tcp::socket::message_peek, error);
+        return error == boost::asio::error::connection_reset;
+    }));
+}
+
 TEST(PeerLink, cancelReachesTheOtherNode)
 {
     const OutgoingCallId id = call("x");
