--- a/src/entrance/internal/entranceshedder.cpp
+++ b/src/entrance/internal/entranceshedder.cpp
@@ -1,5 +1,7 @@
 #include "entrance/entranceshedder.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 
 namespace vanillatack {
@@ -15,11 +17,6 @@
 /// Shortest wait, as a part of the longest one.
 constexpr double SpreadShare = 0.3;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void EntranceShedder::setShares(std::map<RouteName, double> shares)
@@ -53,14 +50,14 @@
 
 Duration retryAfter(const ReturnWindow &window, IRandom &random)
 {
-    const double patience = seconds(window.timeLeft) * LongestWaitShare;
+    const double patience = toSeconds(window.timeLeft) * LongestWaitShare;
     const double useful =
-        window.targetLatency > Duration{0} ? seconds(window.targetLatency) * TargetWaitShare : patience;
-    const double expected = seconds(window.expectedWait);
+        window.targetLatency > Duration{0} ? toSeconds(window.targetLatency) * TargetWaitShare : patience;
+    const double expected = toSeconds(window.expectedWait);
     const double longest = std::min(patience, expected < useful ? useful : expected * (1 + SpreadShare));
     const double shortest = std::clamp(expected, longest * SpreadShare, longest);
     const double wait = shortest + (longest - shortest) * random.fraction();
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+    return fromSeconds(wait);
 }
 
 } // namespace vanillatack
--- a/src/entrance/internal/workspacerates.cpp
+++ b/src/entrance/internal/workspacerates.cpp
@@ -1,5 +1,7 @@
 #include "entrance/workspacerates.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -27,11 +29,6 @@
 /// the demand is known badly.
 constexpr double EvenSpareShare = 0.6;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 WorkspaceRates::WorkspaceRates(NodeName self, const Tolerance &tolerance)
@@ -53,7 +50,7 @@
 void WorkspaceRates::fill(Account &account, TimePoint now)
 {
     if (account.filledAt != TimePoint{}) {
-        account.tokens += account.limit.ratePerSecond * account.part * seconds(now - account.filledAt);
+        account.tokens += account.limit.ratePerSecond * account.part * toSeconds(now - account.filledAt);
     }
     account.filledAt = now;
     account.tokens = std::min(account.tokens, capacity(account));
@@ -146,7 +143,7 @@
 
 std::vector<WorkspaceDemand> WorkspaceRates::demands(TimePoint now)
 {
-    const double elapsed = m_demandAt == TimePoint{} ? 0 : seconds(now - m_demandAt);
+    const double elapsed = m_demandAt == TimePoint{} ? 0 : toSeconds(now - m_demandAt);
     m_demandAt = now;
     std::vector<WorkspaceDemand> result;
     for (auto &[workspace, account] : m_accounts) {
--- a/src/gate/internal/workgate.cpp
+++ b/src/gate/internal/workgate.cpp
@@ -1,5 +1,7 @@
 #include "gate/workgate.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -18,16 +20,6 @@
 /// Assumed for routes of which nothing has ended yet.
 constexpr Duration UnknownWorkTime = std::chrono::milliseconds(50);
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 } // namespace
 
 void WorkGate::setSlots(int slots)
@@ -45,8 +37,8 @@
     double usable = UsableSlots;
     const Duration since = now - m_overflowAt;
     if (m_overflowAt != TimePoint{} && since < OverflowRecovery) {
-        usable =
-            UsableAfterOverflow + (UsableSlots - UsableAfterOverflow) * (seconds(since) / seconds(OverflowRecovery));
+        usable = UsableAfterOverflow
+            + (UsableSlots - UsableAfterOverflow) * (toSeconds(since) / toSeconds(OverflowRecovery));
     }
     return m_slots == 0 ? 0 : std::max(1, static_cast<int>(m_slots * usable));
 }
@@ -78,7 +70,7 @@
     const auto entry = m_running.find(ticket);
     if (entry != m_running.end()) {
         if (wholeAnswer) {
-            const double work = seconds(now - entry->second.at);
+            const double work = toSeconds(now - entry->second.at);
             auto [mean, first] = m_workSeconds.try_emplace(entry->second.route, work);
             mean->second += first ? 0 : WorkTimeWeight * (work - mean->second);
         }
@@ -162,7 +154,7 @@
             break;
         }
         for (const Waiting &waiting : queue) {
-            work += seconds(meanWork(waiting.request.route));
+            work += toSeconds(meanWork(waiting.request.route));
         }
     }
     const int room = std::max(limit(now), 1);
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -1,5 +1,6 @@
 #include "proxy/internal/egressproxy.h"
 
+#include "base/durations.h"
 #include "http/http.h"
 
 #include <absl/strings/numbers.h>
@@ -18,16 +19,6 @@
 /// A repeated attempt with less time than this would fail as well.
 constexpr Duration LeastTimeToRepeat = std::chrono::milliseconds(30);
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 EgressProxy::EgressProxy(const NodeParts &parts)
@@ -69,7 +60,7 @@
 std::string EgressProxy::freshnessText() const
 {
     const auto age = m_freshness.age(m_parts.clock.elapsed());
-    return age ? milliseconds(*age) : "never";
+    return age ? millisecondsText(*age) : "never";
 }
 
 void EgressProxy::onRequest(ExchangeId exchange, HttpRequest http, const std::string & /*peerAddress*/)
@@ -217,14 +208,14 @@
                               {"config_age_ms", freshnessText()},
                               {"share", absl::StrFormat("%.2f", m_parts.shedder.share(request.route))},
                               {"rate_part", absl::StrFormat("%.3f", m_parts.rates.part(request.workspace))},
-                              {"retry_after_s", absl::StrFormat("%.2f", seconds(rejection.retryAfter))}});
+                              {"retry_after_s", absl::StrFormat("%.2f", toSeconds(rejection.retryAfter))}});
     HttpResponse response;
     response.status = rejection.status;
     if (!attemptId.empty()) {
         response.headers.emplace_back(m_parts.settings.headers.attemptId, attemptId);
     }
     if (rejection.retryAfter > Duration{0}) {
-        response.headers.emplace_back("Retry-After", absl::StrFormat("%.3f", seconds(rejection.retryAfter)));
+        response.headers.emplace_back("Retry-After", absl::StrFormat("%.3f", toSeconds(rejection.retryAfter)));
     }
     m_server->respond(exchange, std::move(response));
 }
@@ -378,7 +369,7 @@
                                   {"peer", request.node.value},
                                   {"instance", request.instance},
                                   {"attempts", std::to_string(request.arrived)},
-                                  {"spent_ms", milliseconds(m_parts.clock.now() - request.enteredAt)},
+                                  {"spent_ms", millisecondsText(m_parts.clock.now() - request.enteredAt)},
                                   {"config", std::to_string(m_table.config().version)},
                                   {"config_age_ms", freshnessText()}});
     }
@@ -415,14 +406,14 @@
                               {"peer", request.node.value},
                               {"tries", std::to_string(request.tries)},
                               {"attempts", std::to_string(request.arrived)},
-                              {"spent_ms", milliseconds(now - request.enteredAt)},
+                              {"spent_ms", millisecondsText(now - request.enteredAt)},
                               {"config", std::to_string(m_table.config().version)},
-                              {"retry_after_s", absl::StrFormat("%.2f", seconds(wait))}});
+                              {"retry_after_s", absl::StrFormat("%.2f", toSeconds(wait))}});
     HttpResponse response;
     response.status = status;
     response.headers.emplace_back(m_parts.settings.headers.attemptId, request.attemptId);
     if (notRun) {
-        response.headers.emplace_back("Retry-After", absl::StrFormat("%.3f", seconds(wait)));
+        response.headers.emplace_back("Retry-After", absl::StrFormat("%.3f", toSeconds(wait)));
         m_parts.rates.giveBack(request.workspace);
     }
     const ExchangeId exchange = request.exchange;
@@ -441,7 +432,7 @@
     m_parts.decisions.record("egress.caller-gone",
                              {{"id", request.attemptId},
                               {"route", request.route.value},
-                              {"spent_ms", milliseconds(m_parts.clock.now() - request.enteredAt)}});
+                              {"spent_ms", millisecondsText(m_parts.clock.now() - request.enteredAt)}});
     cancelAttempt(request);
     close(id);
 }
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -1,5 +1,7 @@
 #include "proxy/internal/fleetcontrol.h"
 
+#include "base/durations.h"
+
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
@@ -136,7 +138,7 @@
 NodeReport FleetControl::makeReport()
 {
     const TimePoint now = m_parts.clock.now();
-    const double elapsed = std::max(std::chrono::duration<double>(now - m_tickedAt).count(), 1e-3);
+    const double elapsed = std::max(toSeconds(now - m_tickedAt), 1e-3);
     m_tickedAt = now;
     const std::map<RouteName, int> offered = m_egress.takeOffered();
     for (const auto &[route, count] : offered) {
@@ -178,7 +180,7 @@
     metrics.setGauge("draining", m_leaving ? 1 : 0);
     metrics.setGauge("ready", joined() && !m_leaving ? 1 : 0);
     const auto age = m_egress.freshness().age(m_parts.clock.elapsed());
-    metrics.setGauge("platform_silence_seconds", age ? std::chrono::duration<double>(*age).count() : -1);
+    metrics.setGauge("platform_silence_seconds", age ? toSeconds(*age) : -1);
 }
 
 void FleetControl::sendReports(const NodeReport &report)
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -1,5 +1,6 @@
 #include "proxy/internal/ingressproxy.h"
 
+#include "base/durations.h"
 #include "http/http.h"
 
 #include <algorithm>
@@ -21,11 +22,6 @@
 constexpr Duration QueuePoll = std::chrono::milliseconds(20);
 constexpr int StatusMisdirected = 421;
 
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 const std::string *findHeader(const HeaderList &headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
@@ -124,7 +120,7 @@
     request.method = call.request.method;
     request.target = call.request.target;
     request.headers = call.request.headers;
-    request.headers.emplace_back(m_settings.headers.timeLeft, milliseconds(timeLeft));
+    request.headers.emplace_back(m_settings.headers.timeLeft, millisecondsText(timeLeft));
     request.headers.emplace_back(m_settings.headers.expectedInstance, m_instance.current()->id);
     request.body = call.request.body;
     return request;
@@ -229,8 +225,8 @@
                         {"running", std::to_string(m_gate.running())},
                         {"limit", std::to_string(m_gate.limit(m_clock.now()))},
                         {"queued", std::to_string(m_gate.queued())},
-                        {"wait_ms", milliseconds(retryAfter)},
-                        {"left_ms", milliseconds(request.deadlineLeft)}});
+                        {"wait_ms", millisecondsText(retryAfter)},
+                        {"left_ms", millisecondsText(request.deadlineLeft)}});
     if (call.mapped().completion) {
         call.mapped().completion(refusal(kind, RunState::NotRun, retryAfter));
     }
@@ -327,7 +323,7 @@
     for (const auto &[route, seen] : m_routesSeen) {
         const Duration work = m_gate.workTime(route);
         if (work > Duration{0}) {
-            loads.push_back({route, 0, std::chrono::duration<double>(work).count()});
+            loads.push_back({route, 0, toSeconds(work)});
         }
     }
     return loads;
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -1,6 +1,7 @@
 #include "proxy/trafficnode.h"
 
 #include "attempts/attemptssetup.h"
+#include "base/durations.h"
 #include "base/log.h"
 #include "proxy/internal/fleetcontrol.h"
 
@@ -20,11 +21,6 @@
 constexpr double TakeRequestsShare = 0.6;
 constexpr Duration ShutdownPoll = std::chrono::milliseconds(50);
 
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 class TrafficNode final : public ITrafficNode, private IPeerListener
 {
 public:
@@ -131,8 +127,8 @@
     m_retries->setRatioPercent(settings.retryPercent);
     m_callRetries->setRatioPercent(settings.callRetryPercent);
     m_decisions.record("node.reload",
-                       {{"key_grace_ms", milliseconds(settings.keyGrace)},
-                        {"shutdown_grace_ms", milliseconds(settings.shutdownGrace)},
+                       {{"key_grace_ms", millisecondsText(settings.keyGrace)},
+                        {"shutdown_grace_ms", millisecondsText(settings.shutdownGrace)},
                         {"retry_percent", std::to_string(settings.retryPercent)}});
 }
 
