--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -52,9 +52,6 @@
     /// From now on each response asks the caller to close its connection.
     virtual void startDraining() = 0;
 
-    /// Closes connections that are between two requests.
-    virtual void closeIdle() = 0;
-
     [[nodiscard]] virtual std::size_t connections() const = 0;
 
     /// Bytes of requests and answers that are held for callers.
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -92,8 +92,6 @@
         m_draining = true;
     }
 
-    void closeIdle() override;
-
     [[nodiscard]] std::size_t connections() const override
     {
         return m_connections.size();
@@ -429,19 +427,6 @@
     }
 }
 
-void HttpServer::closeIdle()
-{
-    std::vector<ConnectionPointer> idle;
-    for (const auto &[id, connection] : m_connections) {
-        if (connection->phase == Phase::Idle) {
-            idle.push_back(connection);
-        }
-    }
-    for (const ConnectionPointer &connection : idle) {
-        close(connection);
-    }
-}
-
 void HttpServer::setPhase(const ConnectionPointer &connection, Phase phase)
 {
     connection->phase = phase;
