--- a/src/entrance/internal/workspacerates.cpp
+++ b/src/entrance/internal/workspacerates.cpp
@@ -1,171 +1,250 @@
 #include "entrance/workspacerates.h"
 
-#include "base/durations.h"
-
 #include <algorithm>
-#include <cmath>
-#include <set>
 
 namespace vanillatack {
 
 namespace {
 
-/// Part of the tolerance that is dealt out. The rest covers parts that nodes change at slightly different moments.
-constexpr double DealtTolerance = 0.6;
-/// Further part that a node may use in advance while the workspace as a whole is well below its rate.
-constexpr double AdvanceTolerance = 0.3;
-constexpr double CalmDemand = 0.8;
-/// Factor of the parts meanwhile. Demand that rises is told within half a second, in which this adds a tenth of a
-/// second of the rate.
-constexpr double CalmParts = 1.2;
-/// Part of the rate that all nodes together keep for nodes without demand so far, so that these can serve the first
-/// requests that come.
-constexpr double KeptForIdleNodes = 0.05;
-/// Times over which demand is averaged; the greater mean counts. The short one follows callers that change zones, the
-/// long one bridges the pauses between the few requests of a small workspace.
-constexpr double ShortDemandSeconds = 0.8;
-constexpr double LongDemandSeconds = 5.0;
-/// Part of the unused rate that is dealt evenly; the rest goes by demand. At a node with one or two requests a second
-/// the demand is known badly.
-constexpr double EvenSpareShare = 0.6;
+/// First ask ids are drawn below this, which leaves room to count up.
+constexpr std::uint64_t AskIds = std::uint64_t{1} << 62;
+/// An ask is repeated after this time; several times the way between two zones of a region.
+constexpr Duration AskPatience = std::chrono::milliseconds(40);
+/// Times that an owner is asked, so that lost datagrams cost no request, and owners that are asked before a request is
+/// refused.
+constexpr int SendsToOneOwner = 4;
+constexpr int OwnersToAsk = 2;
+/// How long an owner is not asked again that has left an ask unanswered.
+constexpr Duration OwnerPause = std::chrono::seconds(1);
+/// Longest time for which an empty bucket is believed without asking again; others may return tokens.
+constexpr Duration LongestDryness = std::chrono::milliseconds(100);
 
 } // namespace
 
-WorkspaceRates::WorkspaceRates(NodeName self, const Tolerance &tolerance)
-    : m_self(std::move(self))
-    , m_tolerance(tolerance)
+WorkspaceRates::WorkspaceRates(NodeName self, const RateTolerance &tolerance, IRandom &random, IRateLink &link)
+    : m_self(self)
+    , m_link(link)
+    , m_ledger(tolerance)
+    , m_ownership(std::move(self))
+    , m_lastAsk(random.below(AskIds))
 {
 }
 
-void WorkspaceRates::setLimits(std::map<WorkspaceName, Limit> limits)
+void WorkspaceRates::setLimits(const std::map<WorkspaceName, RateLimit> &limits)
 {
-    std::erase_if(m_accounts, [&limits](const auto &entry) {
-        return !limits.contains(entry.first);
+    for (const auto &[name, limit] : limits) {
+        m_workspaces[name].limit = limit;
+    }
+    // Entries with waiting requests stay until these have ended.
+    for (auto &[name, workspace] : m_workspaces) {
+        if (!limits.contains(name)) {
+            workspace.limit = {};
+        }
+    }
+    std::erase_if(m_workspaces, [&limits](const auto &entry) {
+        return !limits.contains(entry.first) && entry.second.waiting.empty();
+    });
+    std::erase_if(m_answered, [&limits](const auto &entry) {
+        return !limits.contains(entry.first.second);
     });
-    for (const auto &[workspace, limit] : limits) {
-        m_accounts[workspace].limit = limit;
+    m_ledger.setLimits(limits);
+}
+
+void WorkspaceRates::take(const WorkspaceName &name, TimePoint now, TokenCompletion completion)
+{
+    const auto entry = m_workspaces.find(name);
+    if (entry == m_workspaces.end() || entry->second.limit.ratePerSecond <= 0) {
+        completion(TokenEnd::Granted, {});
+        return;
+    }
+    Workspace &workspace = entry->second;
+    if (workspace.returned > 0) {
+        --workspace.returned;
+        completion(TokenEnd::Granted, {});
+        return;
+    }
+    if (now < workspace.dryUntil) {
+        completion(TokenEnd::Exhausted, workspace.dryUntil - now);
+        return;
+    }
+    workspace.waiting.push_back(std::move(completion));
+    if (!workspace.ask) {
+        startAsk(name, workspace, 0, now);
     }
 }
 
-void WorkspaceRates::fill(Account &account, TimePoint now)
+NodeName WorkspaceRates::owner(const WorkspaceName &workspace, TimePoint now) const
 {
-    if (account.filledAt != TimePoint{}) {
-        account.tokens += account.limit.ratePerSecond * account.part * toSeconds(now - account.filledAt);
+    for (const NodeName &node : m_ownership.order(workspace)) {
+        const auto avoided = m_avoidUntil.find(node);
+        const bool asked = avoided == m_avoidUntil.end() || avoided->second <= now;
+        if (asked && !m_silent.contains(node)) {
+            return node;
+        }
     }
-    account.filledAt = now;
-    account.tokens = std::min(account.tokens, capacity(account));
+    return m_self;
 }
 
-double WorkspaceRates::capacity(const Account &account) const
+void WorkspaceRates::startAsk(const WorkspaceName &name, Workspace &workspace, int ownersAsked, TimePoint now)
 {
-    const Limit &limit = account.limit;
-    return std::max(limit.burst * account.part + DealtTolerance * beyond(limit) / m_nodes, 1.0);
+    Ask ask;
+    ask.id = ++m_lastAsk;
+    ask.owner = owner(name, now);
+    ask.wanted = static_cast<int>(workspace.waiting.size());
+    ask.owners = ownersAsked + 1;
+    if (ask.owner == m_self) {
+        const TokenGrant grant = m_ledger.take(name, ask.wanted, now);
+        workspace.ask = ask;
+        settle(name,
+               {.askId = ask.id, .workspace = name, .granted = grant.granted, .dryFor = grant.dryFor},
+               now);
+        return;
+    }
+    workspace.ask = ask;
+    send(name, *workspace.ask, now);
 }
 
-double WorkspaceRates::beyond(const Limit &limit) const
+void WorkspaceRates::send(const WorkspaceName &name, Ask &ask, TimePoint now)
 {
-    return m_tolerance.share * (limit.ratePerSecond * m_tolerance.windowSeconds + limit.burst) + m_tolerance.requests;
+    ++ask.sent;
+    ask.sentAt = now;
+    m_link.sendAsk(ask.owner, {.askId = ask.id, .asker = m_self, .workspace = name, .wanted = ask.wanted});
 }
 
-bool WorkspaceRates::tryTake(const WorkspaceName &workspace, TimePoint now)
+void WorkspaceRates::onAsk(const RateAsk &ask, TimePoint now)
 {
-    const auto entry = m_accounts.find(workspace);
-    if (entry == m_accounts.end()) {
-        return true;
-    }
-    Account &account = entry->second;
-    ++account.asked;
-    if (account.limit.ratePerSecond <= 0) {
-        return true;
-    }
-    fill(account, now);
-    const double advance = account.calm ? AdvanceTolerance * beyond(account.limit) / m_nodes : 0;
-    if (account.tokens + advance < 1.0) {
-        return false;
-    }
-    account.tokens -= 1.0;
-    return true;
+    if (ask.returned > 0) {
+        m_ledger.giveBack(ask.workspace, ask.returned, now);
+    }
+    if (ask.wanted == 0) {
+        return;
+    }
+    // A repeated ask gets the same answer, so that it takes no tokens twice.
+    Answered &answered = m_answered[{ask.asker, ask.workspace}];
+    if (answered.askId != ask.askId) {
+        const TokenGrant grant = m_ledger.take(ask.workspace, ask.wanted, now);
+        answered.askId = ask.askId;
+        answered.grant = {
+            .askId = ask.askId, .workspace = ask.workspace, .granted = grant.granted, .dryFor = grant.dryFor};
+    }
+    m_link.sendGrant(ask.asker, answered.grant);
 }
 
-void WorkspaceRates::giveBack(const WorkspaceName &workspace)
+void WorkspaceRates::onGrant(const RateGrant &grant, TimePoint now)
 {
-    const auto entry = m_accounts.find(workspace);
-    if (entry != m_accounts.end()) {
-        entry->second.tokens += 1.0;
+    const auto entry = m_workspaces.find(grant.workspace);
+    if (entry != m_workspaces.end() && entry->second.ask && entry->second.ask->id == grant.askId) {
+        settle(grant.workspace, grant, now);
     }
 }
 
-void WorkspaceRates::rebalance(const std::vector<NodeName> &registered,
-                               const std::vector<NodeReport> &reports,
-                               TimePoint now)
+/// Ends the requests for which the ask was made, and asks for those that have come since.
+void WorkspaceRates::settle(const WorkspaceName &name, const RateGrant &grant, TimePoint now)
 {
-    std::set<NodeName> others(registered.begin(), registered.end());
-    others.erase(m_self);
-    std::set<NodeName> heard;
-    for (const NodeReport &report : reports) {
-        if (others.contains(report.node)) {
-            heard.insert(report.node);
-            m_otherDemands[report.node] = report.demands;
-        }
+    Workspace &workspace = m_workspaces.at(name);
+    const int wanted = workspace.ask->wanted;
+    workspace.ask.reset();
+    const int granted = std::min(grant.granted, wanted);
+    if (granted < wanted) {
+        workspace.dryUntil = now + std::min(grant.dryFor, LongestDryness);
     }
-    std::erase_if(m_otherDemands, [&others](const auto &entry) {
-        return !others.contains(entry.first);
-    });
-    std::map<WorkspaceName, double> otherDemand;
-    for (const auto &[node, demands] : m_otherDemands) {
-        for (const WorkspaceDemand &demand : demands) {
-            otherDemand[demand.workspace] += demand.perSecond;
-        }
+    // The completions may take further tokens.
+    std::deque<TokenCompletion> ended;
+    for (int i = 0; i < wanted && !workspace.waiting.empty(); ++i) {
+        ended.push_back(std::move(workspace.waiting.front()));
+        workspace.waiting.pop_front();
+    }
+    if (!workspace.waiting.empty()) {
+        startAsk(name, workspace, 0, now);
     }
-    const bool allHeard = heard.size() == others.size();
-    const double nodes = static_cast<double>(others.size()) + 1;
-    m_nodes = nodes;
-    for (auto &[workspace, account] : m_accounts) {
-        fill(account, now);
-        if (account.limit.ratePerSecond <= 0) {
+    for (std::size_t i = 0; i < ended.size(); ++i) {
+        const bool served = static_cast<int>(i) < granted;
+        ended[i](served ? TokenEnd::Granted : TokenEnd::Exhausted, served ? Duration{0} : grant.dryFor);
+    }
+}
+
+void WorkspaceRates::checkAsks(TimePoint now)
+{
+    std::deque<TokenCompletion> failed;
+    for (auto &[name, workspace] : m_workspaces) {
+        if (!workspace.ask || now - workspace.ask->sentAt < AskPatience) {
+            continue;
+        }
+        if (workspace.ask->sent < SendsToOneOwner) {
+            send(name, *workspace.ask, now);
+            continue;
+        }
+        m_avoidUntil[workspace.ask->owner] = now + OwnerPause;
+        const int owners = workspace.ask->owners;
+        if (owners < OwnersToAsk) {
+            startAsk(name, workspace, owners, now);
             continue;
         }
-        const double least = account.limit.ratePerSecond * KeptForIdleNodes / nodes;
-        // The others count with what they have been told; a newer own demand would make the parts add up to more
-        // than one while demand rises everywhere.
-        const double own = std::min(account.demand, account.demandBefore) + least;
-        const double total = own + otherDemand[workspace] + least * (nodes - 1);
-        const double rate = account.limit.ratePerSecond;
-        account.calm = allHeard && total < CalmDemand * rate;
-        const double spare = std::max(rate - total, 0.0);
-        const double dealt =
-            own + spare * ((1 - EvenSpareShare) * own / std::max(total, least) + EvenSpareShare / nodes);
-        const double wanted = total >= rate ? own / std::max(total, least) : dealt / rate;
-        const double granted = account.calm ? std::min(wanted * CalmParts, 1.0) : wanted;
-        account.part = allHeard ? granted : std::min(wanted, std::max(account.part, 1 / nodes));
+        workspace.ask.reset();
+        failed.insert(failed.end(),
+                      std::make_move_iterator(workspace.waiting.begin()),
+                      std::make_move_iterator(workspace.waiting.end()));
+        workspace.waiting.clear();
+    }
+    for (const TokenCompletion &completion : failed) {
+        completion(TokenEnd::OwnerSilent, {});
+    }
+}
+
+bool WorkspaceRates::hasAsks() const
+{
+    return std::any_of(m_workspaces.begin(), m_workspaces.end(), [](const auto &entry) {
+        return entry.second.ask.has_value();
+    });
+}
+
+void WorkspaceRates::giveBack(const WorkspaceName &workspace)
+{
+    const auto entry = m_workspaces.find(workspace);
+    if (entry != m_workspaces.end() && entry->second.limit.ratePerSecond > 0) {
+        ++entry->second.returned;
     }
 }
 
-std::vector<WorkspaceDemand> WorkspaceRates::demands(TimePoint now)
+void WorkspaceRates::returnTokens(TimePoint now)
 {
-    const double elapsed = m_demandAt == TimePoint{} ? 0 : toSeconds(now - m_demandAt);
-    m_demandAt = now;
-    std::vector<WorkspaceDemand> result;
-    for (auto &[workspace, account] : m_accounts) {
-        account.demandBefore = account.demand;
-        if (elapsed > 0) {
-            const double perSecond = account.asked / elapsed;
-            account.shortDemand += (1 - std::exp(-elapsed / ShortDemandSeconds)) * (perSecond - account.shortDemand);
-            account.longDemand += (1 - std::exp(-elapsed / LongDemandSeconds)) * (perSecond - account.longDemand);
-            account.demand = std::max(account.shortDemand, account.longDemand);
-            account.asked = 0;
+    for (auto &[name, workspace] : m_workspaces) {
+        if (workspace.returned == 0) {
+            continue;
         }
-        if (account.demand > 0.01) {
-            result.push_back({workspace, account.demand});
+        const NodeName to = owner(name, now);
+        if (to == m_self) {
+            m_ledger.giveBack(name, workspace.returned, now);
+        } else {
+            m_link.sendAsk(to, {.askId = 0, .asker = m_self, .workspace = name, .returned = workspace.returned});
         }
+        workspace.returned = 0;
     }
-    return result;
 }
 
-double WorkspaceRates::part(const WorkspaceName &workspace) const
+void WorkspaceRates::update(const std::set<NodeName> &registered,
+                            const std::set<NodeName> &candidates,
+                            std::vector<NodeView> views,
+                            TimePoint now)
 {
-    const auto entry = m_accounts.find(workspace);
-    return entry == m_accounts.end() ? 1.0 : entry->second.part;
+    m_silent.clear();
+    for (const NodeView &view : views) {
+        if (view.node == m_self) {
+            m_silent = view.silent;
+        }
+    }
+    std::erase_if(m_avoidUntil, [now](const auto &entry) {
+        return entry.second <= now;
+    });
+    std::erase_if(m_answered, [&registered](const auto &entry) {
+        return !registered.contains(entry.first.first);
+    });
+    m_ownership.setNodes(registered, candidates);
+    m_ownership.setViews(std::move(views));
+    for (const auto &[name, workspace] : m_workspaces) {
+        m_ledger.setPledged(name, m_ownership.pledged(name), now);
+    }
+    returnTokens(now);
 }
 
 } // namespace vanillatack
--- /dev/null
+++ b/src/entrance/tests/rates_tests.cpp
@@ -0,0 +1,412 @@
+#include "entrance/workspacerates.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <numeric>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start(1000s);
+const WorkspaceName Acme("acme");
+
+/// How the nodes of the simulated fleet hear each other.
+using Sides = std::function<int(int node)>;
+
+int together(int /*node*/)
+{
+    return 0;
+}
+
+} // namespace
+
+/// Nodes of one fleet with a network between them: messages take a millisecond, some are lost, none passes between
+/// nodes of different sides. Checks what all nodes admit together.
+TEST_GROUP(WorkspaceRates)
+{
+    static constexpr Duration Step = 1ms;
+    static constexpr Duration Round = 250ms;
+    static constexpr double RateOfTwoSided = 300;
+
+    struct Message {
+        TimePoint at;
+        int to = 0;
+        std::function<void(WorkspaceRates &, TimePoint)> deliver;
+    };
+
+    struct Link final : IRateLink {
+        Link(std::function<void(const NodeName &, std::function<void(WorkspaceRates &, TimePoint)>)> sendMessage)
+            : send(std::move(sendMessage))
+        {
+        }
+        void sendAsk(const NodeName &owner, const RateAsk &ask) override
+        {
+            send(owner, [ask](WorkspaceRates &rates, TimePoint at) {
+                rates.onAsk(ask, at);
+            });
+        }
+        void sendGrant(const NodeName &asker, const RateGrant &grant) override
+        {
+            send(asker, [grant](WorkspaceRates &rates, TimePoint at) {
+                rates.onGrant(grant, at);
+            });
+        }
+        std::function<void(const NodeName &, std::function<void(WorkspaceRates &, TimePoint)>)> send;
+    };
+
+    SeededRandom random{3};
+    std::vector<NodeName> names;
+    std::vector<std::unique_ptr<Link>> links;
+    std::vector<std::unique_ptr<WorkspaceRates>> rates;
+    std::map<WorkspaceName, RateLimit> limits;
+    std::deque<Message> network;
+    Sides side = together;
+    double loss = 0;
+    TimePoint now = Start;
+    TimePoint updateAt = Start;
+    int admitted = 0;
+    int refused = 0;
+    std::deque<std::pair<TimePoint, int>> window; ///< Admitted in each step of the last five seconds.
+    int inWindow = 0;
+    int most = 0; ///< In any five seconds.
+    std::vector<std::vector<int>> heardSides; ///< By node: of the others, the side in the last round.
+
+    void build(int count, const RateLimit &limit, const WorkspaceName &workspace = Acme)
+    {
+        limits = {{workspace, limit}};
+        for (int i = 0; i < count; ++i) {
+            names.emplace_back("n" + std::to_string(i));
+        }
+        for (int i = 0; i < count; ++i) {
+            links.push_back(std::make_unique<Link>([this, i](const NodeName &to, auto deliver) {
+                const auto target = std::find(names.begin(), names.end(), to) - names.begin();
+                const bool lost = random.fraction() < loss;
+                if (!lost && side(i) == side(static_cast<int>(target))) {
+                    network.push_back({now + 1ms, static_cast<int>(target), std::move(deliver)});
+                }
+            }));
+            rates.push_back(std::make_unique<WorkspaceRates>(
+                names[i], RateTolerance{.share = 0.1, .requests = 20}, random, *links.back()));
+            rates.back()->setLimits(limits);
+        }
+        exchangeViews();
+    }
+
+    /// Every node learns whom the others of its side hear.
+    void exchangeViews()
+    {
+        const int count = static_cast<int>(names.size());
+        for (int i = 0; i < count; ++i) {
+            std::vector<NodeView> views;
+            for (int other = 0; other < count; ++other) {
+                if (side(other) != side(i)) {
+                    continue;
+                }
+                NodeView view{names[other], {}};
+                for (int third = 0; third < count; ++third) {
+                    if (side(third) != side(other)) {
+                        view.silent.insert(names[third]);
+                    }
+                }
+                views.push_back(std::move(view));
+            }
+            const std::set<NodeName> all(names.begin(), names.end());
+            rates[i]->update(all, all, std::move(views), now);
+        }
+    }
+
+    void take(int node, const WorkspaceName &workspace = Acme)
+    {
+        rates[node]->take(workspace, now, [this](TokenEnd end, Duration) {
+            if (end == TokenEnd::Granted) {
+                ++admitted;
+                window.emplace_back(now, 1);
+                ++inWindow;
+            } else {
+                ++refused;
+            }
+        });
+    }
+
+    void run(Duration time, const std::function<void()> &demand)
+    {
+        for (const TimePoint end = now + time; now < end; now += Step) {
+            if (now - updateAt >= Round) {
+                updateAt = now;
+                exchangeViews();
+            }
+            while (!network.empty() && network.front().at <= now) {
+                const Message message = std::move(network.front());
+                network.pop_front();
+                message.deliver(*rates[message.to], now);
+            }
+            demand();
+            for (auto &node : rates) {
+                if (node->hasAsks()) {
+                    node->checkAsks(now);
+                }
+            }
+            while (!window.empty() && now - window.front().first > 5s) {
+                inWindow -= window.front().second;
+                window.pop_front();
+            }
+            most = std::max(most, inWindow);
+        }
+    }
+
+    /// Requests by chance, at any node.
+    std::function<void()> spread(double perSecond)
+    {
+        return [this, perSecond] {
+            m_carry += perSecond / 1000;
+            for (; m_carry >= 1; m_carry -= 1) {
+                take(static_cast<int>(random.below(names.size())));
+            }
+        };
+    }
+
+    /// At most so many may be admitted in five seconds; the bound of the users' platform.
+    static double bound(const RateLimit &limit)
+    {
+        return (limit.ratePerSecond * 5 + limit.burst) * 1.1 + 20;
+    }
+
+    double m_carry = 0;
+};
+
+TEST(WorkspaceRates, oneNodeWithAllTheDemandGetsTheRate)
+{
+    build(14, {.ratePerSecond = 300, .burst = 300});
+    run(10s, [this] {
+        m_carry += 0.28;
+        for (; m_carry >= 1; m_carry -= 1) {
+            take(3);
+        }
+    });
+    CHECK(refused * 1000 <= admitted); // At most one in a thousand is refused inside the rate.
+}
+
+TEST(WorkspaceRates, aSmallWorkspaceThatComesByChanceIsNotRefused)
+{
+    // 19 requests a second of the 30 allowed, spread by chance over 14 nodes: one or two a second at each.
+    build(14, {.ratePerSecond = 30, .burst = 30});
+    run(60s, spread(19));
+    CHECK(refused * 1000 <= admitted);
+}
+
+TEST(WorkspaceRates, manySmallWorkspacesOnALargeFleetAreNotRefusedInsideTheirRate)
+{
+    // The load of a calm day on 78 nodes: less than one request a second of a workspace at each node.
+    build(78, {.ratePerSecond = 30, .burst = 30});
+    run(20s, spread(28));
+    CHECK(admitted > 400);
+    CHECK(refused * 1000 <= admitted);
+}
+
+TEST(WorkspaceRates, lostMessagesCostNoRequestInsideTheRate)
+{
+    loss = 0.03;
+    build(14, {.ratePerSecond = 300, .burst = 300});
+    run(20s, spread(250));
+    CHECK(refused * 100 <= admitted);
+}
+
+TEST(WorkspaceRates, floodStaysInsideTheBoundInEveryFiveSeconds)
+{
+    // A workspace sends eight times its rate, from other nodes every second.
+    const RateLimit limit{.ratePerSecond = 300, .burst = 300};
+    build(14, limit);
+    int step = 0;
+    run(30s, [&] {
+        const int second = step++ / 1000;
+        m_carry += 2.4;
+        for (int i = 0; m_carry >= 1; m_carry -= 1, ++i) {
+            take((second * 5 + i * 3) % 14);
+        }
+    });
+    CHECK(most <= bound(limit));
+    CHECK(admitted >= 0.95 * 300 * 30); // The flood gets its rate, no less.
+}
+
+TEST(WorkspaceRates, aFloodThatStartsAtAllNodesAtOnceStaysInsideTheBound)
+{
+    const RateLimit limit{.ratePerSecond = 300, .burst = 300};
+    build(14, limit);
+    run(6s, spread(1));
+    run(12s, spread(1050));
+    CHECK(most <= bound(limit));
+}
+
+TEST(WorkspaceRates, bothSidesOfACutStayInsideTheBoundTogether)
+{
+    const RateLimit limit{.ratePerSecond = RateOfTwoSided, .burst = RateOfTwoSided};
+    build(14, limit);
+    run(5s, spread(350));
+    side = [](int node) {
+        return node % 3;
+    };
+    run(10s, spread(2400));
+    side = together;
+    run(10s, spread(2400));
+    CHECK(most <= bound(limit));
+}
+
+TEST(WorkspaceRates, aSideOfACutServesItsEvenPart)
+{
+    build(12, {.ratePerSecond = 300, .burst = 300});
+    run(2s, spread(100));
+    side = [](int node) {
+        return node % 3;
+    };
+    run(2s, spread(100));
+    admitted = 0;
+    refused = 0;
+    run(10s, spread(270)); // 90 a second on each side, which may use 100.
+    CHECK(refused * 100 <= admitted);
+}
+
+TEST(WorkspaceRates, aNodeThatHearsNobodyKeepsItsEvenPart)
+{
+    build(10, {.ratePerSecond = 300, .burst = 300});
+    side = [](int node) {
+        return node == 4 ? 1 : 0;
+    };
+    run(2s, [] {});
+    run(10s, [this] {
+        m_carry += 0.1;
+        for (; m_carry >= 1; m_carry -= 1) {
+            take(4);
+        }
+    });
+    CHECK(admitted >= 0.95 * 30 * 10);
+    CHECK(admitted <= bound({.ratePerSecond = 30, .burst = 30}) + 30 * 5);
+}
+
+TEST(WorkspaceRates, ownersThatDieInTurnStayInsideTheBound)
+{
+    // The owner of the rate is cut off every two seconds, in a flood.
+    const RateLimit limit{.ratePerSecond = 300, .burst = 300};
+    build(14, limit);
+    for (int i = 0; i < 8; ++i) {
+        const NodeName owner = rates[13]->owner(Acme, now);
+        const int dead = static_cast<int>(std::find(names.begin(), names.end(), owner) - names.begin());
+        side = [dead](int node) {
+            return node == dead ? 1 : 0;
+        };
+        run(2s, spread(2400));
+    }
+    CHECK(most <= bound(limit));
+}
+
+TEST(WorkspaceRates, tokensThatAreGivenBackCountAgain)
+{
+    build(3, {.ratePerSecond = 10, .burst = 10});
+    // All requests get a token and are refused for lack of room, many times the rate.
+    run(10s, [this] {
+        rates[1]->take(Acme, now, [this](TokenEnd end, Duration) {
+            refused += end == TokenEnd::Granted ? 0 : 1;
+            rates[1]->giveBack(Acme);
+        });
+    });
+    LONGS_EQUAL(0, refused);
+}
+
+TEST(WorkspaceRates, unlimitedWorkspacesAskNobody)
+{
+    build(3, {.ratePerSecond = 0, .burst = 0});
+    run(100ms, [this] {
+        take(0);
+    });
+    LONGS_EQUAL(0, refused);
+    CHECK(network.empty());
+}
+
+TEST(WorkspaceRates, aLowerLimitTakesWhatTheBucketHolds)
+{
+    build(3, {.ratePerSecond = 300, .burst = 300});
+    run(5s, [] {});
+    limits = {{Acme, {.ratePerSecond = 10, .burst = 10}}};
+    for (auto &node : rates) {
+        node->setLimits(limits);
+    }
+    run(5s, spread(100));
+    CHECK(admitted <= bound({.ratePerSecond = 10, .burst = 10}));
+}
+
+TEST_GROUP(RateOwnership)
+{
+    std::set<NodeName> all;
+
+    void setup() override
+    {
+        for (int i = 0; i < 20; ++i) {
+            all.insert(NodeName("n" + std::to_string(i)));
+        }
+    }
+
+    /// Sum over all nodes of what is pledged to each, when every node hears what heard() says.
+    double pledgedToAll(const std::function<std::set<NodeName>(const NodeName &)> &silentFor)
+    {
+        std::vector<NodeView> views;
+        for (const NodeName &node : all) {
+            views.push_back({node, silentFor(node)});
+        }
+        double sum = 0;
+        for (const NodeName &node : all) {
+            RateOwnership ownership(node);
+            ownership.setNodes(all, all);
+            ownership.setViews(views);
+            sum += ownership.pledged(Acme);
+        }
+        return sum;
+    }
+};
+
+TEST(RateOwnership, allNodesTogetherPledgeTheRateOnceHoweverTheyHearEachOther)
+{
+    SeededRandom random(8);
+    DOUBLES_EQUAL(1, pledgedToAll([](const NodeName &) {
+                      return std::set<NodeName>{};
+                  }),
+                  1e-9);
+    for (int trial = 0; trial < 50; ++trial) {
+        DOUBLES_EQUAL(1, pledgedToAll([&](const NodeName &self) {
+                          std::set<NodeName> silent;
+                          for (const NodeName &node : all) {
+                              if (node != self && random.fraction() < 0.7) {
+                                  silent.insert(node);
+                              }
+                          }
+                          return silent;
+                      }),
+                      1e-9);
+    }
+}
+
+TEST(RateOwnership, aNodeThatComesTakesFewWorkspaces)
+{
+    RateOwnership ownership(NodeName("n0"));
+    ownership.setNodes(all, all);
+    std::map<WorkspaceName, NodeName> before;
+    for (int i = 0; i < 200; ++i) {
+        const WorkspaceName workspace("w" + std::to_string(i));
+        before[workspace] = ownership.order(workspace).front();
+    }
+    std::set<NodeName> more = all;
+    more.insert(NodeName("late"));
+    ownership.setNodes(more, more);
+    int moved = 0;
+    for (const auto &[workspace, owner] : before) {
+        const NodeName after = ownership.order(workspace).front();
+        moved += after == owner ? 0 : 1;
+        CHECK(after == owner || after == NodeName("late"));
+    }
+    CHECK(moved > 0);
+    CHECK(moved < 30);
+}
--- a/src/entrance/workspacerates.h
+++ b/src/entrance/workspacerates.h
@@ -1,75 +1,105 @@
 #pragma once
 
-#include "base/clock.h"
+#include "base/random.h"
+#include "entrance/rateledger.h"
+#include "entrance/rateownership.h"
 #include "model/messages.h"
 
+#include <deque>
+#include <functional>
 #include <map>
-#include <string>
-#include <vector>
+#include <optional>
 
 namespace vanillatack {
 
-/// Keeps each workspace inside its rate and burst over all nodes. Each node may use the part of the rate that its
-/// demand has in the demand of all nodes, as the nodes report it. While a registered node is not heard, its last known
-/// demand counts on, and no part grows above an even one, so that the two sides of a cut do not both take the whole.
-class WorkspaceRates
+/// Carries asks and grants between nodes. Messages can be lost, late, duplicated or out of order.
+class IRateLink
 {
 public:
-    /// How far the fleet may go beyond rate and burst because its nodes act apart. Lets a node that gets a few requests
-    /// a second serve two that come together.
-    struct Tolerance {
-        double share = 0; ///< Of rate x window + burst.
-        double requests = 0;
-        double windowSeconds = 5;
-    };
+    virtual ~IRateLink() = default;
 
-    WorkspaceRates(NodeName self, const Tolerance &tolerance);
+    virtual void sendAsk(const NodeName &owner, const RateAsk &ask) = 0;
+    virtual void sendGrant(const NodeName &asker, const RateGrant &grant) = 0;
+};
 
-    struct Limit {
-        double ratePerSecond = 0; ///< 0: no limit.
-        double burst = 0;
-    };
-    void setLimits(std::map<WorkspaceName, Limit> limits);
+/// How taking a token ended.
+enum class TokenEnd {
+    Granted,
+    Exhausted, ///< The workspace has used its rate.
+    OwnerSilent, ///< No owner answered.
+};
+
+/// expectedWait: for Exhausted, the time until there is another token.
+using TokenCompletion = std::function<void(TokenEnd, Duration expectedWait)>;
+
+/// Keeps each workspace inside its rate and burst over all nodes. One node, the owner, deals out the tokens of a
+/// workspace; the others ask it, once for all requests that wait. See RateOwnership for owners that cannot be reached.
+class WorkspaceRates
+{
+public:
+    /// The link must outlive the rates.
+    WorkspaceRates(NodeName self, const RateTolerance &tolerance, IRandom &random, IRateLink &link);
+
+    void setLimits(const std::map<WorkspaceName, RateLimit> &limits);
 
-    /// Takes one request. Returns false when the workspace has used its rate.
-    bool tryTake(const WorkspaceName &workspace, TimePoint now);
+    /// Takes one token. The completion is called once, at once or later.
+    void take(const WorkspaceName &workspace, TimePoint now, TokenCompletion completion);
 
-    /// A request that was taken and did not run.
+    /// A token that was granted for a request that did not run.
     void giveBack(const WorkspaceName &workspace);
 
-    /// Deals the rates anew. registered: all nodes that may admit requests; reports: what was heard from them lately.
-    void rebalance(const std::vector<NodeName> &registered, const std::vector<NodeReport> &reports, TimePoint now);
+    /// Who deals out which rate, from what the nodes hear now. Returns tokens that were given back to their owners.
+    void update(const std::set<NodeName> &registered,
+                const std::set<NodeName> &candidates,
+                std::vector<NodeView> views,
+                TimePoint now);
 
-    /// Requests per second of each workspace that entered here lately.
-    [[nodiscard]] std::vector<WorkspaceDemand> demands(TimePoint now);
+    void onAsk(const RateAsk &ask, TimePoint now);
+    void onGrant(const RateGrant &grant, TimePoint now);
 
-    /// The part of the workspace's rate that this node may use now, 0 to 1.
-    [[nodiscard]] double part(const WorkspaceName &workspace) const;
+    /// Repeats asks that were not answered, and turns to other owners. To be called while hasAsks().
+    void checkAsks(TimePoint now);
+    [[nodiscard]] bool hasAsks() const;
+
+    /// The node that deals out the workspace's rate, as this node sees it. For logs.
+    [[nodiscard]] NodeName owner(const WorkspaceName &workspace, TimePoint now) const;
 
 private:
-    struct Account {
-        Limit limit;
-        double part = 0;
-        double tokens = 0;
-        TimePoint filledAt;
-        bool calm = false; ///< The workspace as a whole is well below its rate.
-        double shortDemand = 0; ///< Requests per second, exponentially weighted.
-        double longDemand = 0;
-        double demand = 0; ///< The greater of both.
-        double demandBefore = 0; ///< As told to the other nodes one report earlier.
-        int asked = 0; ///< Since the demand was last brought up to date.
+    struct Ask {
+        std::uint64_t id = 0;
+        NodeName owner;
+        int wanted = 0;
+        int sent = 0;
+        int owners = 0; ///< Asked so far, one after the other.
+        TimePoint sentAt;
+    };
+    struct Workspace {
+        RateLimit limit;
+        std::deque<TokenCompletion> waiting;
+        std::optional<Ask> ask;
+        int returned = 0; ///< Tokens that were given back; used before others are asked for.
+        TimePoint dryUntil;
+    };
+    struct Answered {
+        std::uint64_t askId = 0;
+        RateGrant grant;
     };
 
-    void fill(Account &account, TimePoint now);
-    [[nodiscard]] double capacity(const Account &account) const;
-    [[nodiscard]] double beyond(const Limit &limit) const;
+    void startAsk(const WorkspaceName &name, Workspace &workspace, int ownersAsked, TimePoint now);
+    void send(const WorkspaceName &name, Ask &ask, TimePoint now);
+    void end(Workspace &workspace, int count, TokenEnd end, Duration wait);
+    void settle(const WorkspaceName &name, const RateGrant &grant, TimePoint now);
+    void returnTokens(TimePoint now);
 
     NodeName m_self;
-    Tolerance m_tolerance;
-    double m_nodes = 1; ///< Registered, with this one.
-    TimePoint m_demandAt;
-    std::map<WorkspaceName, Account> m_accounts;
-    std::map<NodeName, std::vector<WorkspaceDemand>> m_otherDemands; ///< As last reported.
+    IRateLink &m_link;
+    RateLedger m_ledger;
+    RateOwnership m_ownership;
+    std::uint64_t m_lastAsk; ///< Begins at random, so that owners tell asks of two starts of a process apart.
+    std::set<NodeName> m_silent; ///< Nodes that this one does not hear.
+    std::map<NodeName, TimePoint> m_avoidUntil; ///< Owners that left an ask unanswered.
+    std::map<WorkspaceName, Workspace> m_workspaces;
+    std::map<std::pair<NodeName, WorkspaceName>, Answered> m_answered; ///< The last ask of each node.
 };
 
 } // namespace vanillatack
--- a/src/fleet/internal/nodedirectory.cpp
+++ b/src/fleet/internal/nodedirectory.cpp
@@ -46,22 +46,23 @@
     m_nodes.erase(node);
 }
 
-void NodeDirectory::recordReport(const NodeReport &report, TimePoint now)
+bool NodeDirectory::recordReport(const NodeReport &report, TimePoint now)
 {
     const auto entry = m_nodes.find(report.node);
     if (entry == m_nodes.end()) {
-        return;
+        return false;
     }
     Known &known = entry->second;
     const auto order = [](const NodeReport &item) {
         return std::pair(item.startedAtMs, item.sequence);
     };
     if (order(report) <= order(known.report)) {
-        return;
+        return false;
     }
     known.report = report;
     known.reportedAt = now;
     known.sentSinceReport = 0;
+    return true;
 }
 
 double NodeDirectory::load(const Known &known, TimePoint now) const
--- a/src/fleet/internal/nodeentrycodec.cpp
+++ b/src/fleet/internal/nodeentrycodec.cpp
@@ -16,6 +16,7 @@
         {"instance", entry.instance},
         {"slots", entry.slots},
         {"accepting", entry.accepting},
+        {"leaving", entry.leaving},
     }
         .dump();
 }
@@ -34,6 +35,7 @@
         entry.instance = json.at("instance").get<std::string>();
         entry.slots = json.at("slots").get<int>();
         entry.accepting = json.at("accepting").get<bool>();
+        entry.leaving = json.at("leaving").get<bool>();
         return entry;
     } catch (const nlohmann::json::exception &exception) {
         return makeError(ErrorKind::InvalidMessage,
--- a/src/fleet/iversionedtable.h
+++ b/src/fleet/iversionedtable.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/nametable.h"
+#include "model/versionedrow.h"
 
 #include <cstdint>
 #include <functional>
@@ -28,13 +29,6 @@
     {TableEnd::Unknown, "unknown"},
 });
 
-struct VersionedRow {
-    std::string key;
-    std::string value;
-    std::uint64_t version = 0;
-    bool deleted = false;
-};
-
 struct TableAnswer {
     TableEnd end = TableEnd::Unknown;
     std::vector<VersionedRow> rows; ///< Of a conflict: the rows that were in the way.
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -21,6 +21,7 @@
     std::string instance; ///< Id of the instance; empty while none has announced itself.
     int slots = 0;
     bool accepting = false; ///< The instance takes new requests.
+    bool leaving = false; ///< The node's process is about to end.
 
     bool operator==(const NodeEntry &) const = default;
 };
@@ -42,8 +43,9 @@
     void update(const NodeEntry &entry);
     void remove(const NodeName &node);
 
-    /// A report from a node. Reports of an earlier process or out of order are ignored.
-    void recordReport(const NodeReport &report, TimePoint now);
+    /// A report from a node. Reports of an earlier process or out of order are ignored. Returns whether it was newer than
+    /// the last one.
+    bool recordReport(const NodeReport &report, TimePoint now);
 
     /// The node for the next attempt, or nullopt when none accepts. Prefers the own zone while it has room.
     std::optional<NodeEntry>
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -1,3 +1,4 @@
+#include "fleet/failuredetector.h"
 #include "fleet/nodedirectory.h"
 #include "fleet/nodeentrycodec.h"
 #include "fleet/noderegistry.h"
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/request.h"
+#include "model/versionedrow.h"
 
 #include <cstdint>
 #include <string>
@@ -257,12 +258,7 @@
     double callsPerRequest = 0;
 };
 
-struct WorkspaceDemand {
-    WorkspaceName workspace;
-    double perSecond = 0; ///< Requests that entered at the node.
-};
-
-/// What a node tells the others about its load, in a datagram.
+/// What a node tells the others about its load and about which nodes it hears, in a datagram.
 struct NodeReport {
     NodeName node;
     std::uint64_t startedAtMs = 0; ///< Wall time of the process's start; orders reports over restarts.
@@ -273,7 +269,49 @@
     int queued = 0;
     std::vector<RouteLoad> loads;
     std::vector<CallEdge> edges;
-    std::vector<WorkspaceDemand> demands;
+    std::vector<NodeName> silent; ///< Registered nodes that the node does not hear; it takes none of them for an owner.
+};
+
+/// Reports of one zone, which a node of it sends to the other zones.
+struct ReportBundle {
+    bool spread = false; ///< The receiver passes the bundle on to the nodes of its zone.
+    std::vector<NodeReport> reports;
+};
+
+// ---- rates of workspaces -----------------------------------------------------------------------------------------
+
+/// Asks the owner of a workspace's rate for tokens, or returns some that were not used.
+struct RateAsk {
+    std::uint64_t askId = 0; ///< Chosen by the asking node; a repeated ask has the same.
+    NodeName asker;
+    WorkspaceName workspace;
+    int wanted = 0;
+    int returned = 0;
+};
+
+struct RateGrant {
+    std::uint64_t askId = 0;
+    WorkspaceName workspace;
+    int granted = 0;
+    Duration dryFor{0}; ///< When fewer were granted than wanted: time until there is another token.
+};
+
+// ---- tables of the platform's store, passed on inside a zone ------------------------------------------------------
+
+/// Asks a node of the zone for the changes of a table that it follows. Answered when there are some, or after the wait.
+struct TableWatch {
+    std::uint64_t requestId = 0;
+    std::string table;
+    std::uint64_t afterVersion = 0;
+    Duration wait{0};
+};
+
+struct TableChanges {
+    std::uint64_t requestId = 0;
+    bool known = false; ///< False: the node cannot tell the changes since that version.
+    std::uint64_t version = 0;
+    Duration age{0}; ///< Upper bound of the time since the node's copy was confirmed, at the moment of the answer.
+    std::vector<VersionedRow> rows;
 };
 
 using ControlMessage = std::variant<Ping,
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -66,9 +66,10 @@
     Cancelled,
     HeadersTooLarge,
     BodyTooLarge,
+    RateOwnerSilent,
 };
 
-inline constexpr auto RefusalKindNames = makeNameTable<RefusalKind, 24>({
+inline constexpr auto RefusalKindNames = makeNameTable<RefusalKind, 25>({
     {RefusalKind::None, "none"},
     {RefusalKind::MalformedRequest, "malformed-request"},
     {RefusalKind::UnknownRoute, "unknown-route"},
@@ -93,6 +94,7 @@
     {RefusalKind::Cancelled, "cancelled"},
     {RefusalKind::HeadersTooLarge, "headers-too-large"},
     {RefusalKind::BodyTooLarge, "body-too-large"},
+    {RefusalKind::RateOwnerSilent, "rate-owner-silent"},
 });
 
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -25,7 +25,8 @@
 constexpr Duration DeadPeerTimeout = std::chrono::seconds(3);
 /// Bytes that wait for a slow node, above which it gets no further calls.
 constexpr std::size_t BacklogLimit = std::size_t{8} << 20;
-constexpr std::size_t DatagramBytes = 16384;
+/// Longest datagram that UDP carries.
+constexpr std::size_t DatagramBytes = 65536;
 
 class PeerLink final : public IPeerLink
 {
@@ -43,7 +44,7 @@
     OutgoingCallId call(const Endpoint &node, CallRequest request, PeerCompletion completion) override;
     void cancel(OutgoingCallId call) override;
     void reply(PeerCallId call, CallReply reply) override;
-    void sendReport(const Endpoint &node, const NodeReport &report) override;
+    void send(const std::vector<Endpoint> &nodes, const PeerDatagram &message) override;
 
 private:
     struct Outgoing {
@@ -77,6 +78,7 @@
 
     void accept();
     void receiveDatagram();
+    void onDatagram(std::string_view bytes);
     void connect(const Endpoint &node);
     void onConnected(const Endpoint &node, const FramePointer &connection);
     void onPeerFrame(const Endpoint &node, Frame frame);
@@ -166,22 +168,41 @@
                 return;
             }
             if (!error) {
-                const Result<Frame> frame = decodePackedFrame({m_datagram.data(), bytes});
-                if (!frame) {
-                    LinkLog.warning("A datagram cannot be decoded.", {{"error", frame.error().text()}});
-                } else if (const auto *report = std::get_if<NodeReport>(&frame.value())) {
-                    m_listener.onReport(*report);
-                }
+                onDatagram({m_datagram.data(), bytes});
             }
             receiveDatagram();
         });
 }
 
-void PeerLink::sendReport(const Endpoint &node, const NodeReport &report)
+void PeerLink::onDatagram(std::string_view bytes)
 {
-    const std::string bytes = encodePackedFrame(report);
-    error_code ignored; // The next report replaces one that cannot be sent.
-    m_datagrams.send_to(boost::asio::buffer(bytes), {toTcp(node).address(), node.port}, 0, ignored);
+    const Result<Frame> frame = decodePackedFrame(bytes);
+    if (!frame) {
+        LinkLog.warning("A datagram cannot be decoded.", {{"error", frame.error().text()}});
+        return;
+    }
+    std::visit(
+        [this](const auto &message) {
+            if constexpr (std::is_constructible_v<PeerDatagram, decltype(message)>) {
+                m_listener.onDatagram(message);
+            } else {
+                LinkLog.warning("A datagram holds a message that needs a connection; it is dropped.");
+            }
+        },
+        frame.value());
+}
+
+void PeerLink::send(const std::vector<Endpoint> &nodes, const PeerDatagram &message)
+{
+    const std::string bytes = std::visit(
+        [](const auto &content) {
+            return encodePackedFrame(content);
+        },
+        message);
+    for (const Endpoint &node : nodes) {
+        error_code ignored; // All messages are sent again or replaced by newer ones.
+        m_datagrams.send_to(boost::asio::buffer(bytes), {toTcp(node).address(), node.port}, 0, ignored);
+    }
 }
 
 OutgoingCallId PeerLink::call(const Endpoint &node, CallRequest request, PeerCompletion completion)
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -6,6 +6,8 @@
 
 #include <functional>
 #include <memory>
+#include <variant>
+#include <vector>
 
 namespace vanillatack {
 
@@ -14,6 +16,9 @@
 /// A call to another node until it ends.
 using OutgoingCallId = NumericId<struct OutgoingCallTag>;
 
+/// What is sent without a connection and may be lost.
+using PeerDatagram = std::variant<NodeReport, ReportBundle, RateAsk, RateGrant>;
+
 /// Takes what other nodes send. Called on the loop's thread.
 class IPeerListener
 {
@@ -26,7 +31,7 @@
     /// The calling node no longer waits, or its connection ended. The call is over.
     virtual void onCallAbandoned(PeerCallId call) = 0;
 
-    virtual void onReport(const NodeReport &report) = 0;
+    virtual void onDatagram(const PeerDatagram &message) = 0;
 };
 
 enum class PeerCallEnd {
@@ -45,7 +50,7 @@
 };
 
 /// Calls between nodes. One connection to each node carries any number of calls; frames are Cap'n Proto messages with
-/// their length in front. Load reports go as datagrams to the same port.
+/// their length in front. Load reports and asks for tokens go as datagrams to the same port.
 class IPeerLink
 {
 public:
@@ -63,8 +68,8 @@
     /// Answers a call. Calls that were abandoned are ignored.
     virtual void reply(PeerCallId call, CallReply reply) = 0;
 
-    /// Sends a datagram, which can be lost.
-    virtual void sendReport(const Endpoint &node, const NodeReport &report) = 0;
+    /// Sends a datagram to each of the nodes. Datagrams can be lost.
+    virtual void send(const std::vector<Endpoint> &nodes, const PeerDatagram &message) = 0;
 };
 
 /// The loop and the listener must outlive the link.
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -433,14 +433,14 @@
     {
         abandoned.push_back(call);
     }
-    void onReport(const NodeReport &report) override
+    void onDatagram(const PeerDatagram &message) override
     {
-        reports.push_back(report);
+        datagrams.push_back(message);
     }
 
     std::vector<std::pair<PeerCallId, CallRequest>> calls;
     std::vector<PeerCallId> abandoned;
-    std::vector<NodeReport> reports;
+    std::vector<PeerDatagram> datagrams;
 };
 
 /// A port that is free now. Taken from the kernel, and only used at once by the same test.
@@ -606,12 +606,16 @@
     report.sequence = 4;
     report.loads = {{RouteName("r"), 2.5, 0.25}};
     report.edges = {{RouteName("r"), RouteName("s"), 2}};
-    report.demands = {{WorkspaceName("w"), 12.5}};
-    linkB->sendReport(addressB, report);
+    linkB->send({addressB}, report);
     CHECK(runUntil(loop, [&] {
-        return listenerB.reports.size() == 1;
+        return listenerB.datagrams.size() == 1;
     }));
-    DOUBLES_EQUAL(0.25, listenerB.reports[0].loads.at(0).workSeconds, 1e-6);
-    DOUBLES_EQUAL(2, listenerB.reports[0].edges.at(0).callsPerRequest, 1e-6);
-    DOUBLES_EQUAL(12.5, listenerB.reports[0].demands.at(0).perSecond, 1e-6);
+    const auto &arrived = std::get<NodeReport>(listenerB.datagrams[0]);
+    DOUBLES_EQUAL(0.25, arrived.loads.at(0).workSeconds, 1e-6);
+    DOUBLES_EQUAL(2, arrived.edges.at(0).callsPerRequest, 1e-6);
+    linkB->send({addressB}, RateAsk{.askId = 5, .asker = NodeName("n"), .workspace = WorkspaceName("w"), .wanted = 2});
+    CHECK(runUntil(loop, [&] {
+        return listenerB.datagrams.size() == 2;
+    }));
+    LONGS_EQUAL(2, std::get<RateAsk>(listenerB.datagrams[1]).wanted);
 }
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -40,11 +40,11 @@
                          .bodyBytes = limits.maxBodyBytes,
                          .headTimeout = limits.headTimeout,
                          .idleTimeout = limits.idleTimeout});
-    std::map<WorkspaceName, WorkspaceRates::Limit> rates;
+    std::map<WorkspaceName, RateLimit> rates;
     for (const WorkspaceGrant &workspace : m_table.config().workspaces) {
         rates[workspace.name] = {workspace.ratePerSecond, workspace.burst};
     }
-    m_parts.rates.setLimits(std::move(rates));
+    m_parts.rates.setLimits(rates);
 }
 
 void EgressProxy::refuseNew()
@@ -69,8 +69,8 @@
     request.exchange = exchange;
     request.enteredAt = m_parts.clock.now();
     request.attemptId = http.header(m_parts.settings.headers.attemptId);
-    if (const auto rejection = admit(http, request)) {
-        reject(exchange, request.attemptId, request, *rejection);
+    if (const auto rejection = check(http, request)) {
+        reject(request, *rejection);
         return;
     }
     prepareCall(http, request);
@@ -79,11 +79,24 @@
         onTimeout(id);
     });
     m_exchanges[exchange] = id;
+    const WorkspaceName workspace = request.workspace;
     m_requests.emplace(id, std::move(request));
-    attempt(id);
+    if (workspace.empty()) {
+        enter(id);
+        return;
+    }
+    m_parts.rates.take(workspace, m_parts.clock.now(), [this, id, workspace](TokenEnd end, Duration expectedWait) {
+        if (m_requests.contains(id)) {
+            onToken(id, end, expectedWait);
+        } else if (end == TokenEnd::Granted) {
+            // The caller left while the owner of the rate was asked.
+            m_parts.rates.giveBack(workspace);
+        }
+    });
 }
 
-std::optional<EgressProxy::Rejection> EgressProxy::admit(const HttpRequest &http, Request &request)
+/// Whether the request is one that the configuration allows.
+std::optional<EgressProxy::Rejection> EgressProxy::check(const HttpRequest &http, Request &request)
 {
     const TimePoint now = request.enteredAt;
     if (m_table.config().version == 0 || m_refusing) {
@@ -115,20 +128,6 @@
     if (const auto rejection = identify(http, *route, request)) {
         return rejection;
     }
-    if (!request.fromInstance) {
-        ++m_offered[route->name];
-        if (!request.workspace.empty() && !m_parts.rates.tryTake(request.workspace, now)) {
-            return Rejection{429,
-                             RefusalKind::RateExceeded,
-                             retryAfter({.timeLeft = left, .targetLatency = route->targetLatency}, m_parts.random)};
-        }
-        if (!m_parts.shedder.admit(route->name, request.workspace)) {
-            m_parts.rates.giveBack(request.workspace);
-            return Rejection{503,
-                             RefusalKind::Overloaded,
-                             retryAfter({.timeLeft = left, .targetLatency = route->targetLatency}, m_parts.random)};
-        }
-    }
     if (request.fromInstance) {
         m_parts.ingress.callGraph().recordCall(route->name, now);
     }
@@ -136,6 +135,43 @@
     return std::nullopt;
 }
 
+void EgressProxy::onToken(RequestId id, TokenEnd end, Duration expectedWait)
+{
+    const Request &request = m_requests.at(id);
+    if (end == TokenEnd::Exhausted) {
+        rejectStored(id, rejectionOf(request, 429, RefusalKind::RateExceeded, expectedWait));
+    } else if (end == TokenEnd::OwnerSilent) {
+        rejectStored(id, rejectionOf(request, 503, RefusalKind::RateOwnerSilent));
+    } else {
+        enter(id);
+    }
+}
+
+/// Takes the request in, unless the services have no room for it.
+void EgressProxy::enter(RequestId id)
+{
+    const Request &request = m_requests.at(id);
+    if (!request.fromInstance) {
+        ++m_offered[request.route];
+        if (!m_parts.shedder.admit(request.route, request.workspace)) {
+            m_parts.rates.giveBack(request.workspace);
+            rejectStored(id, rejectionOf(request, 503, RefusalKind::Overloaded));
+            return;
+        }
+    }
+    attempt(id);
+}
+
+EgressProxy::Rejection
+EgressProxy::rejectionOf(const Request &request, int status, RefusalKind kind, Duration expectedWait)
+{
+    const Duration left = std::max(request.deadline - m_parts.clock.now(), Duration{0});
+    return {status,
+            kind,
+            retryAfter({.timeLeft = left, .targetLatency = request.targetLatency, .expectedWait = expectedWait},
+                       m_parts.random)};
+}
+
 /// Finds the workspace by the caller's key.
 std::optional<EgressProxy::Rejection>
 EgressProxy::identify(const HttpRequest &http, const TrafficRoute &route, Request &request)
@@ -191,14 +227,19 @@
     }
 }
 
-void EgressProxy::reject(ExchangeId exchange,
-                         const std::string &attemptId,
-                         const Request &request,
-                         const Rejection &rejection)
+void EgressProxy::rejectStored(RequestId id, const Rejection &rejection)
+{
+    // The answer may free the connection for the next request of the caller, which must not find this one.
+    const Request request = m_requests.at(id);
+    close(id);
+    reject(request, rejection);
+}
+
+void EgressProxy::reject(const Request &request, const Rejection &rejection)
 {
     m_parts.metrics.countRefusal(rejection.kind, PriorityClass::Interactive);
     m_parts.decisions.record("egress.rejected",
-                             {{"id", attemptId},
+                             {{"id", request.attemptId},
                               {"status", std::to_string(rejection.status)},
                               {"reason", std::string(RefusalKindNames.name(rejection.kind))},
                               {"route", request.route.value},
@@ -207,17 +248,17 @@
                               {"config", std::to_string(m_table.config().version)},
                               {"config_age_ms", freshnessText()},
                               {"share", absl::StrFormat("%.2f", m_parts.shedder.share(request.route))},
-                              {"rate_part", absl::StrFormat("%.3f", m_parts.rates.part(request.workspace))},
+                              {"rate_owner", m_parts.rates.owner(request.workspace, m_parts.clock.now()).value},
                               {"retry_after_s", absl::StrFormat("%.2f", toSeconds(rejection.retryAfter))}});
     HttpResponse response;
     response.status = rejection.status;
-    if (!attemptId.empty()) {
-        response.headers.emplace_back(m_parts.settings.headers.attemptId, attemptId);
+    if (!request.attemptId.empty()) {
+        response.headers.emplace_back(m_parts.settings.headers.attemptId, request.attemptId);
     }
     if (rejection.retryAfter > Duration{0}) {
         response.headers.emplace_back("Retry-After", absl::StrFormat("%.3f", toSeconds(rejection.retryAfter)));
     }
-    m_server->respond(exchange, std::move(response));
+    m_server->respond(request.exchange, std::move(response));
 }
 
 void EgressProxy::attempt(RequestId id)
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -49,6 +49,9 @@
         return m_table;
     }
 
+    /// Requests of callers on each route since the last call, without those beyond their workspace's rate.
+    std::map<RouteName, int> takeOffered();
+
     ConfigFreshness &freshness()
     {
         return m_freshness;
@@ -62,9 +65,6 @@
         return m_requests.size();
     }
 
-    /// Requests of callers on each route since the last call.
-    std::map<RouteName, int> takeOffered();
-
     /// From now on new requests are refused.
     void refuseNew();
 
@@ -100,10 +100,17 @@
         Duration retryAfter{0};
     };
 
-    std::optional<Rejection> admit(const HttpRequest &http, Request &request);
+    std::optional<Rejection> check(const HttpRequest &http, Request &request);
     std::optional<Rejection> identify(const HttpRequest &http, const TrafficRoute &route, Request &request);
     void prepareCall(const HttpRequest &http, Request &request) const;
-    void reject(ExchangeId exchange, const std::string &attemptId, const Request &request, const Rejection &rejection);
+    void onToken(RequestId id, TokenEnd end, Duration expectedWait);
+    void enter(RequestId id);
+    void reject(const Request &request, const Rejection &rejection);
+    void rejectStored(RequestId id, const Rejection &rejection);
+    [[nodiscard]] Rejection rejectionOf(const Request &request,
+                                        int status,
+                                        RefusalKind kind,
+                                        Duration expectedWait = Duration{0});
 
     void attempt(RequestId id);
     void onReply(RequestId id, PeerCallEnd end, CallReply reply);
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -11,16 +11,23 @@
 
 namespace {
 
-/// Reports that a node sends in one second, at most; with more nodes each is told less often.
+/// Reports that a node sends to its zone in one second, at most; in larger zones each node is told less often.
 constexpr double ReportsPerSecond = 120;
 constexpr Duration ShortestTick = std::chrono::milliseconds(250);
-/// Reports older than this, or than some rounds, no longer count for rates and plans.
-constexpr Duration ShortestReportLifetime = std::chrono::milliseconds(1500);
+/// Rounds between two bundles for other zones; bytes between zones are dear.
+constexpr std::uint64_t RoundsPerBundle = 2;
+/// Reports in one datagram, so that a bundle stays far below the longest datagram.
+constexpr std::size_t ReportsPerBundle = 8;
+/// Reports older than this, or than some rounds, no longer count for plans.
+constexpr Duration ShortestReportLifetime = std::chrono::seconds(2);
 constexpr int ReportLifetimeRounds = 4;
 /// Time over which offered requests are averaged.
 constexpr double OfferedSeconds = 0.8;
 /// Silence after which the row of a node is removed. Longer than a restart, so that restarts cost no extra writes.
 constexpr Duration SilenceOfGoneNodes = std::chrono::seconds(12);
+/// The same for nodes of other zones, which their own relay removes unless the whole zone is gone. Longer than the usual
+/// cut of a zone, whose nodes are alive.
+constexpr Duration SilenceOfGoneZones = std::chrono::seconds(40);
 /// Change of an admitted share that is logged.
 constexpr double NotableChange = 0.1;
 
@@ -38,6 +45,7 @@
           },
           *this,
           parts.settings.node)
+    , m_detector(parts.settings.node, parts.settings.zone)
 {
 }
 
@@ -65,6 +73,7 @@
         entry.slots = instance->slots;
     }
     entry.accepting = !m_leaving && m_parts.ingress.accepts();
+    entry.leaving = m_leaving;
     const NodeEntry *known = m_parts.directory.find(entry.node);
     if (known != nullptr && *known == entry) {
         return;
@@ -90,30 +99,49 @@
                                   {"accepts", entry.accepting ? "yes" : "no"}});
     }
     m_parts.directory.update(entry);
-    m_heardAt[entry.node] = m_parts.clock.now();
+    m_detector.add(entry.node, entry.zone, m_parts.clock.now());
 }
 
 void FleetControl::onNodeGone(const NodeName &node)
 {
     m_parts.decisions.record("fleet.node-gone", {{"peer", node.value}});
+    m_removalTriedAt.erase(node);
     m_parts.directory.remove(node);
-    m_heardAt.erase(node);
+    m_detector.remove(node);
 }
 
 void FleetControl::onReport(const NodeReport &report)
 {
-    m_heardAt[report.node] = m_parts.clock.now();
-    m_parts.directory.recordReport(report, m_parts.clock.now());
+    const TimePoint now = m_parts.clock.now();
+    if (m_parts.directory.recordReport(report, now)) {
+        m_detector.recordHeard(report.node, now);
+    }
+}
+
+void FleetControl::onBundle(const ReportBundle &bundle)
+{
+    for (const NodeReport &report : bundle.reports) {
+        onReport(report);
+    }
+    if (bundle.spread) {
+        m_link->send(endpoints(m_detector.nodesOf(m_parts.settings.zone)),
+                     ReportBundle{.spread = false, .reports = bundle.reports});
+    }
 }
 
 void FleetControl::tick()
 {
     publishOwn();
+    m_detector.setReportInterval(round());
     const NodeReport report = makeReport();
     m_parts.directory.recordReport(report, m_parts.clock.now());
-    sendReports(report);
+    m_link->send(endpoints(m_detector.nodesOf(m_parts.settings.zone)), report);
+    ++m_rounds;
+    if (m_rounds % RoundsPerBundle == 0) {
+        sendBundles();
+    }
     planEntrance();
-    dealRates();
+    assignRates();
     removeSilentNodes();
     m_parts.decisions.flushCounts();
     setGauges(report);
@@ -122,10 +150,10 @@
     });
 }
 
-/// Time between two reports. Grows with the fleet, since every node is told.
+/// Time between two reports. Grows with the zone, since every node of it is told.
 Duration FleetControl::round() const
 {
-    const double nodes = static_cast<double>(m_parts.directory.nodes().size());
+    const auto nodes = static_cast<double>(m_detector.nodesOf(m_parts.settings.zone).size());
     const std::chrono::duration<double> needed(nodes / ReportsPerSecond);
     return std::max(std::chrono::duration_cast<Duration>(needed), ShortestTick);
 }
@@ -166,7 +194,8 @@
         report.loads.push_back({route, rate, 0});
     }
     report.edges = m_parts.ingress.callGraph().edges();
-    report.demands = m_parts.rates.demands(now);
+    const std::set<NodeName> silent = m_detector.silent(now);
+    report.silent.assign(silent.begin(), silent.end());
     return report;
 }
 
@@ -183,13 +212,47 @@
     metrics.setGauge("platform_silence_seconds", age ? toSeconds(*age) : -1);
 }
 
-void FleetControl::sendReports(const NodeReport &report)
+/// As the relay of the zone: sends its reports to the relays of the other zones.
+void FleetControl::sendBundles()
 {
-    for (const NodeEntry &node : m_parts.directory.nodes()) {
-        if (node.node != m_parts.settings.node) {
-            m_link->sendReport(node.peer, report);
+    const TimePoint now = m_parts.clock.now();
+    if (m_detector.relay(m_parts.settings.zone, now) != m_parts.settings.node) {
+        return;
+    }
+    std::vector<Endpoint> relays;
+    for (const ZoneName &zone : m_detector.otherZones()) {
+        const std::vector<NodeName> nodes = m_detector.nodesOf(zone);
+        // A zone that is silent is tried at another node each time, until one answers.
+        const NodeName relay = m_detector.relay(zone, now).value_or(nodes[m_rounds % nodes.size()]);
+        const std::vector<Endpoint> found = endpoints({relay});
+        relays.insert(relays.end(), found.begin(), found.end());
+    }
+    ReportBundle bundle{.spread = true, .reports = {}};
+    for (NodeReport &report : m_parts.directory.reports(reportLifetime(), now)) {
+        const NodeEntry *node = m_parts.directory.find(report.node);
+        if (node->zone != m_parts.settings.zone) {
+            continue;
+        }
+        bundle.reports.push_back(std::move(report));
+        if (bundle.reports.size() == ReportsPerBundle) {
+            m_link->send(relays, bundle);
+            bundle.reports.clear();
         }
     }
+    if (!bundle.reports.empty()) {
+        m_link->send(relays, bundle);
+    }
+}
+
+std::vector<Endpoint> FleetControl::endpoints(const std::vector<NodeName> &nodes) const
+{
+    std::vector<Endpoint> result;
+    for (const NodeName &node : nodes) {
+        if (const NodeEntry *entry = m_parts.directory.find(node)) {
+            result.push_back(entry->peer);
+        }
+    }
+    return result;
 }
 
 void FleetControl::planEntrance()
@@ -253,33 +316,46 @@
     m_parts.shedder.setShares(std::move(plan.shares));
 }
 
-void FleetControl::dealRates()
+/// Tells the rates who is registered, who may own a rate, and what the nodes in touch hear.
+void FleetControl::assignRates()
 {
-    std::vector<NodeName> registered;
+    const TimePoint now = m_parts.clock.now();
+    std::set<NodeName> registered;
+    std::set<NodeName> candidates;
     for (const NodeEntry &node : m_parts.directory.nodes()) {
-        registered.push_back(node.node);
+        registered.insert(node.node);
+        if (!node.leaving) {
+            candidates.insert(node.node);
+        }
     }
-    const TimePoint now = m_parts.clock.now();
-    m_parts.rates.rebalance(registered, m_parts.directory.reports(reportLifetime(), now), now);
+    std::vector<NodeView> views;
+    for (const NodeReport &report : m_parts.directory.reports(reportLifetime(), now)) {
+        if (m_detector.isInTouch(report.node, now)) {
+            views.push_back({report.node, {report.silent.begin(), report.silent.end()}});
+        }
+    }
+    m_parts.rates.update(registered, candidates, std::move(views), now);
 }
 
-/// The node with the first name among those heard removes the rows of silent ones, so that not all do it at once.
+/// The relay of the zone removes the rows of silent nodes, so that not all nodes do it at once.
 void FleetControl::removeSilentNodes()
 {
     const TimePoint now = m_parts.clock.now();
-    std::vector<NodeName> silent;
-    for (auto &[node, heardAt] : m_heardAt) {
-        if (now - heardAt < reportLifetime() && node < m_parts.settings.node) {
-            return;
+    if (m_detector.relay(m_parts.settings.zone, now) != m_parts.settings.node) {
+        return;
+    }
+    for (const NodeEntry &node : m_parts.directory.nodes()) {
+        const bool ownZone = node.zone == m_parts.settings.zone;
+        const Duration limit = ownZone ? SilenceOfGoneNodes : SilenceOfGoneZones;
+        if (m_detector.silence(node.node, now) < limit) {
+            continue;
         }
-        if (now - heardAt > SilenceOfGoneNodes) {
-            silent.push_back(node);
-            heardAt = now;
+        TimePoint &triedAt = m_removalTriedAt[node.node];
+        if (triedAt == TimePoint{} || now - triedAt > limit) {
+            triedAt = now;
+            m_registry.removeSilent(node.node);
         }
     }
-    for (const NodeName &node : silent) {
-        m_registry.removeSilent(node);
-    }
 }
 
 } // namespace vanillatack
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entrance/entranceplan.h"
+#include "fleet/failuredetector.h"
 #include "fleet/noderegistry.h"
 #include "net/peerlink.h"
 #include "proxy/internal/egressproxy.h"
@@ -18,6 +19,7 @@
     void start(IPeerLink &link, std::uint64_t startedAtMs);
 
     void onReport(const NodeReport &report);
+    void onBundle(const ReportBundle &bundle);
 
     /// Registers what the instance beside the node can take now. To be called when that may have changed.
     void publishOwn();
@@ -39,9 +41,10 @@
     [[nodiscard]] Duration reportLifetime() const;
     NodeReport makeReport();
     void setGauges(const NodeReport &report);
-    void sendReports(const NodeReport &report);
+    void sendBundles();
+    [[nodiscard]] std::vector<Endpoint> endpoints(const std::vector<NodeName> &nodes) const;
     void planEntrance();
-    void dealRates();
+    void assignRates();
     void removeSilentNodes();
 
     NodeParts m_parts;
@@ -55,7 +58,9 @@
     RoomCorrection m_room;
     std::vector<ServiceName> m_scarce; ///< Of the last plan.
     std::map<RouteName, double> m_offered; ///< Requests per second, exponentially weighted.
-    std::map<NodeName, TimePoint> m_heardAt; ///< Last report, or registration.
+    FailureDetector m_detector;
+    std::uint64_t m_rounds = 0;
+    std::map<NodeName, TimePoint> m_removalTriedAt; ///< Of rows of silent nodes.
 };
 
 } // namespace vanillatack
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -20,8 +20,10 @@
 /// Part of the grace time after which new requests are refused, so that those that run can end.
 constexpr double TakeRequestsShare = 0.6;
 constexpr Duration ShutdownPoll = std::chrono::milliseconds(50);
+/// How often asks for tokens are checked for a missing answer.
+constexpr Duration AskPoll = std::chrono::milliseconds(25);
 
-class TrafficNode final : public ITrafficNode, private IPeerListener
+class TrafficNode final : public ITrafficNode, private IPeerListener, private IRateLink
 {
 public:
     TrafficNode(EventLoop &loop,
@@ -36,7 +38,7 @@
         , m_decisions(clock, settings.node.value, settings.logDescriptor)
         , m_ingress(loop, clock, m_settings, m_decisions, metrics)
         , m_directory(settings.zone)
-        , m_rates(settings.node, settings.rateTolerance)
+        , m_rates(settings.node, settings.rateTolerance, random, *this)
         , m_retries(makeRetryBudget(clock, settings.freeRetries))
         , m_callRetries(makeRetryBudget(clock, 0))
         , m_egress(parts(random, metrics))
@@ -78,7 +80,11 @@
 
     void onCall(PeerCallId call, CallRequest request) override;
     void onCallAbandoned(PeerCallId call) override;
-    void onReport(const NodeReport &report) override;
+    void onDatagram(const PeerDatagram &message) override;
+    void sendAsk(const NodeName &owner, const RateAsk &ask) override;
+    void sendGrant(const NodeName &asker, const RateGrant &grant) override;
+    void sendTo(const NodeName &node, const PeerDatagram &message);
+    void watchAsks();
 
     void pollShutdown();
 
@@ -97,6 +103,7 @@
     std::unique_ptr<IHttpServer> m_server;
     std::unique_ptr<IPeerLink> m_link;
     std::map<PeerCallId, TicketId> m_calls;
+    bool m_watchingAsks = false;
     std::function<void()> m_stopped; ///< Set while shutting down.
     TimePoint m_stoppingSince;
 };
@@ -195,9 +202,52 @@
     }
 }
 
-void TrafficNode::onReport(const NodeReport &report)
+void TrafficNode::onDatagram(const PeerDatagram &message)
 {
-    m_control.onReport(report);
+    const TimePoint now = m_clock.now();
+    if (const auto *report = std::get_if<NodeReport>(&message)) {
+        m_control.onReport(*report);
+    } else if (const auto *bundle = std::get_if<ReportBundle>(&message)) {
+        m_control.onBundle(*bundle);
+    } else if (const auto *ask = std::get_if<RateAsk>(&message)) {
+        m_rates.onAsk(*ask, now);
+    } else if (const auto *grant = std::get_if<RateGrant>(&message)) {
+        m_rates.onGrant(*grant, now);
+    }
+}
+
+void TrafficNode::sendAsk(const NodeName &owner, const RateAsk &ask)
+{
+    sendTo(owner, ask);
+    watchAsks();
+}
+
+void TrafficNode::sendGrant(const NodeName &asker, const RateGrant &grant)
+{
+    sendTo(asker, grant);
+}
+
+void TrafficNode::sendTo(const NodeName &node, const PeerDatagram &message)
+{
+    if (const NodeEntry *entry = m_directory.find(node)) {
+        m_link->send({entry->peer}, message);
+    }
+}
+
+/// Looks after asks that may be lost, for as long as there are any.
+void TrafficNode::watchAsks()
+{
+    if (m_watchingAsks) {
+        return;
+    }
+    m_watchingAsks = true;
+    m_loop.callAfter(AskPoll, [this] {
+        m_watchingAsks = false;
+        m_rates.checkAsks(m_clock.now());
+        if (m_rates.hasAsks()) {
+            watchAsks();
+        }
+    });
 }
 
 void TrafficNode::shutDown(std::function<void()> done)
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -32,7 +32,7 @@
     Duration announceInterval = std::chrono::milliseconds(1500); ///< Of the instance.
     Duration keyGrace = std::chrono::seconds(4); ///< Longest age of a confirmed configuration for accepting keys.
     Duration shutdownGrace = std::chrono::seconds(6); ///< Between the signal to stop and being killed.
-    WorkspaceRates::Tolerance rateTolerance;
+    RateTolerance rateTolerance;
     int retryPercent = 9; ///< Repeated attempts for 100 requests of callers to a service.
     /// The same for calls that instances make. Smaller, since a repeated request repeats all its calls as well, and
     /// the repeated calls of each hop add up at the deepest service.
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -44,8 +44,20 @@
 };
 
 /// Everything that is sent between nodes.
-using Frame =
-    std::variant<Hello, Challenge, Proof, CallRequest, CallReply, ControlFrame, CallCancel, LinkProbe, NodeReport>;
+using Frame = std::variant<Hello,
+                           Challenge,
+                           Proof,
+                           CallRequest,
+                           CallReply,
+                           ControlFrame,
+                           CallCancel,
+                           LinkProbe,
+                           NodeReport,
+                           ReportBundle,
+                           RateAsk,
+                           RateGrant,
+                           TableWatch,
+                           TableChanges>;
 
 /// Encodes a frame in the Cap'n Proto stream format (a whole number of 8-byte words).
 std::string encodeFrame(const Frame &frame);
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -68,6 +68,31 @@
     write(out.initNodeReport(), in);
 }
 
+void writeContent(schema::Frame::Builder out, const ReportBundle &in)
+{
+    write(out.initReportBundle(), in);
+}
+
+void writeContent(schema::Frame::Builder out, const RateAsk &in)
+{
+    write(out.initRateAsk(), in);
+}
+
+void writeContent(schema::Frame::Builder out, const RateGrant &in)
+{
+    write(out.initRateGrant(), in);
+}
+
+void writeContent(schema::Frame::Builder out, const TableWatch &in)
+{
+    write(out.initTableWatch(), in);
+}
+
+void writeContent(schema::Frame::Builder out, const TableChanges &in)
+{
+    write(out.initTableChanges(), in);
+}
+
 Frame readFrame(schema::Frame::Reader in)
 {
     switch (in.which()) {
@@ -90,6 +115,16 @@
             in.getLinkProbe().getSequence(), in.getLinkProbe().getAnswer(), Duration(in.getLinkProbe().getSentAtNs())};
     case schema::Frame::NODE_REPORT:
         return readNodeReport(in.getNodeReport());
+    case schema::Frame::REPORT_BUNDLE:
+        return readReportBundle(in.getReportBundle());
+    case schema::Frame::RATE_ASK:
+        return readRateAsk(in.getRateAsk());
+    case schema::Frame::RATE_GRANT:
+        return readRateGrant(in.getRateGrant());
+    case schema::Frame::TABLE_WATCH:
+        return readTableWatch(in.getTableWatch());
+    case schema::Frame::TABLE_CHANGES:
+        return readTableChanges(in.getTableChanges());
     }
     throw DecodeFailure("unknown kind of frame");
 }
--- a/src/wire/internal/reportcodec.cpp
+++ b/src/wire/internal/reportcodec.cpp
@@ -17,6 +17,22 @@
     return value;
 }
 
+int toCount(std::int32_t value)
+{
+    if (value < 0) {
+        throw DecodeFailure("a count is negative");
+    }
+    return value;
+}
+
+Duration toSpan(std::int64_t nanoseconds)
+{
+    if (nanoseconds < 0) {
+        throw DecodeFailure("a span of time is negative");
+    }
+    return Duration(nanoseconds);
+}
+
 } // namespace
 
 void write(schema::NodeReport::Builder out, const NodeReport &in)
@@ -40,10 +56,9 @@
         edges[index].setCallee(in.edges[index].callee.value);
         edges[index].setCallsPerRequest(static_cast<float>(in.edges[index].callsPerRequest));
     }
-    auto demands = out.initDemands(in.demands.size());
-    for (unsigned index = 0; index < in.demands.size(); ++index) {
-        demands[index].setWorkspace(in.demands[index].workspace.value);
-        demands[index].setPerSecond(static_cast<float>(in.demands[index].perSecond));
+    auto silent = out.initSilent(in.silent.size());
+    for (unsigned index = 0; index < in.silent.size(); ++index) {
+        silent.set(index, in.silent[index].value);
     }
 }
 
@@ -67,8 +82,108 @@
                              RouteName(toString(edge.getCallee())),
                              toFigure(edge.getCallsPerRequest())});
     }
-    for (const auto demand : in.getDemands()) {
-        out.demands.push_back({WorkspaceName(toString(demand.getWorkspace())), toFigure(demand.getPerSecond())});
+    for (const auto node : in.getSilent()) {
+        out.silent.emplace_back(toString(node));
+    }
+    return out;
+}
+
+void write(schema::ReportBundle::Builder out, const ReportBundle &in)
+{
+    out.setSpread(in.spread);
+    auto reports = out.initReports(in.reports.size());
+    for (unsigned index = 0; index < in.reports.size(); ++index) {
+        write(reports[index], in.reports[index]);
+    }
+}
+
+ReportBundle readReportBundle(schema::ReportBundle::Reader in)
+{
+    ReportBundle out;
+    out.spread = in.getSpread();
+    for (const auto report : in.getReports()) {
+        out.reports.push_back(readNodeReport(report));
+    }
+    return out;
+}
+
+void write(schema::RateAsk::Builder out, const RateAsk &in)
+{
+    out.setAskId(in.askId);
+    out.setAsker(in.asker.value);
+    out.setWorkspace(in.workspace.value);
+    out.setWanted(in.wanted);
+    out.setReturned(in.returned);
+}
+
+RateAsk readRateAsk(schema::RateAsk::Reader in)
+{
+    return {.askId = in.getAskId(),
+            .asker = NodeName(toString(in.getAsker())),
+            .workspace = WorkspaceName(toString(in.getWorkspace())),
+            .wanted = toCount(in.getWanted()),
+            .returned = toCount(in.getReturned())};
+}
+
+void write(schema::RateGrant::Builder out, const RateGrant &in)
+{
+    out.setAskId(in.askId);
+    out.setWorkspace(in.workspace.value);
+    out.setGranted(in.granted);
+    out.setDryForNs(in.dryFor.count());
+}
+
+RateGrant readRateGrant(schema::RateGrant::Reader in)
+{
+    return {.askId = in.getAskId(),
+            .workspace = WorkspaceName(toString(in.getWorkspace())),
+            .granted = toCount(in.getGranted()),
+            .dryFor = toSpan(in.getDryForNs())};
+}
+
+void write(schema::TableWatch::Builder out, const TableWatch &in)
+{
+    out.setRequestId(in.requestId);
+    out.setTable(in.table);
+    out.setAfterVersion(in.afterVersion);
+    out.setWaitNs(in.wait.count());
+}
+
+TableWatch readTableWatch(schema::TableWatch::Reader in)
+{
+    return {.requestId = in.getRequestId(),
+            .table = toString(in.getTable()),
+            .afterVersion = in.getAfterVersion(),
+            .wait = toSpan(in.getWaitNs())};
+}
+
+void write(schema::TableChanges::Builder out, const TableChanges &in)
+{
+    out.setRequestId(in.requestId);
+    out.setKnown(in.known);
+    out.setVersion(in.version);
+    out.setAgeNs(in.age.count());
+    auto rows = out.initRows(in.rows.size());
+    for (unsigned index = 0; index < in.rows.size(); ++index) {
+        rows[index].setKey(in.rows[index].key);
+        rows[index].setValue(toData(in.rows[index].value));
+        rows[index].setVersion(in.rows[index].version);
+        rows[index].setDeleted(in.rows[index].deleted);
+    }
+}
+
+TableChanges readTableChanges(schema::TableChanges::Reader in)
+{
+    TableChanges out;
+    out.requestId = in.getRequestId();
+    out.known = in.getKnown();
+    out.version = in.getVersion();
+    out.age = toSpan(in.getAgeNs());
+    for (const auto row : in.getRows()) {
+        out.rows.push_back({.key = toString(row.getKey()),
+                            .value = toString(row.getValue()),
+                            .version = row.getVersion(),
+                            .deleted = row.getDeleted()});
     }
     return out;
 }
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -227,11 +227,6 @@
   callsPerRequest @2 :Float32;
 }
 
-struct WorkspaceDemand {
-  workspace @0 :Text;
-  perSecond @1 :Float32;
-}
-
 struct NodeReport {
   node @0 :Text;
   startedAtMs @1 :UInt64;
@@ -242,7 +237,49 @@
   queued @6 :Int32;
   loads @7 :List(RouteLoad);
   edges @8 :List(CallEdge);
-  demands @9 :List(WorkspaceDemand);
+  silent @9 :List(Text);
+}
+
+struct ReportBundle {
+  spread @0 :Bool;
+  reports @1 :List(NodeReport);
+}
+
+struct RateAsk {
+  askId @0 :UInt64;
+  asker @1 :Text;
+  workspace @2 :Text;
+  wanted @3 :Int32;
+  returned @4 :Int32;
+}
+
+struct RateGrant {
+  askId @0 :UInt64;
+  workspace @1 :Text;
+  granted @2 :Int32;
+  dryForNs @3 :Int64;
+}
+
+struct TableWatch {
+  requestId @0 :UInt64;
+  table @1 :Text;
+  afterVersion @2 :UInt64;
+  waitNs @3 :Int64;
+}
+
+struct TableRow {
+  key @0 :Text;
+  value @1 :Data;
+  version @2 :UInt64;
+  deleted @3 :Bool;
+}
+
+struct TableChanges {
+  requestId @0 :UInt64;
+  known @1 :Bool;
+  version @2 :UInt64;
+  ageNs @3 :Int64;
+  rows @4 :List(TableRow);
 }
 
 struct Frame {
@@ -256,5 +293,10 @@
     callCancel @6 :CallCancel;
     linkProbe @7 :LinkProbe;
     nodeReport @8 :NodeReport;
+    reportBundle @9 :ReportBundle;
+    rateAsk @10 :RateAsk;
+    rateGrant @11 :RateGrant;
+    tableWatch @12 :TableWatch;
+    tableChanges @13 :TableChanges;
   }
 }
--- a/src/wire/tests/codec_tests.cpp
+++ b/src/wire/tests/codec_tests.cpp
@@ -114,7 +114,7 @@
     report.queued = 3;
     report.loads = {{RouteName("r"), 2.5, 0.25}};
     report.edges = {{RouteName("r"), RouteName("s"), 4}};
-    report.demands = {{WorkspaceName("w"), 12.5}};
+    report.silent = {NodeName("n2"), NodeName("n3")};
     for (const std::string &bytes : {encodePackedFrame(report), encodePackedFrame(CallCancel{7})}) {
         CHECK(decodePackedFrame(bytes).has_value());
         for (std::size_t length = 0; length < bytes.size(); ++length) {
@@ -127,6 +127,7 @@
     LONGS_EQUAL(3, copy.queued);
     DOUBLES_EQUAL(0.25, copy.loads.at(0).workSeconds, 1e-6);
     STRCMP_EQUAL("s", copy.edges.at(0).callee.value.c_str());
+    STRCMP_EQUAL("n3", copy.silent.at(1).value.c_str());
     CHECK(encodePackedFrame(report).size() < encodeFrame(report).size());
     const Frame probe = decodeFrame(encodeFrame(LinkProbe{.sequence = 5, .answer = true})).value();
     CHECK(std::get<LinkProbe>(probe).answer);
@@ -137,8 +138,61 @@
 TEST(Codec, reportsWithFiguresThatAreNoNumbersAreRefused)
 {
     NodeReport report;
-    report.demands = {{WorkspaceName("w"), std::numeric_limits<double>::quiet_NaN()}};
+    report.loads = {{RouteName("r"), std::numeric_limits<double>::quiet_NaN(), 0}};
     CHECK(decodeFrame(encodeFrame(report)).has_error());
-    report.demands = {{WorkspaceName("w"), -1}};
+    report.loads = {{RouteName("r"), 0, -1}};
     CHECK(decodePackedFrame(encodePackedFrame(report)).has_error());
 }
+
+TEST(Codec, bundlesAsksAndGrantsSurvive)
+{
+    NodeReport report;
+    report.node = NodeName("n1");
+    report.sequence = 9;
+    const Frame bundle = decodePackedFrame(encodePackedFrame(ReportBundle{.spread = true, .reports = {report}})).value();
+    CHECK(std::get<ReportBundle>(bundle).spread);
+    LONGS_EQUAL(9, std::get<ReportBundle>(bundle).reports.at(0).sequence);
+    const RateAsk ask{
+        .askId = 7, .asker = NodeName("n1"), .workspace = WorkspaceName("w"), .wanted = 3, .returned = 2};
+    const Frame asked = decodePackedFrame(encodePackedFrame(ask)).value();
+    STRCMP_EQUAL("w", std::get<RateAsk>(asked).workspace.value.c_str());
+    LONGS_EQUAL(3, std::get<RateAsk>(asked).wanted);
+    LONGS_EQUAL(2, std::get<RateAsk>(asked).returned);
+    const RateGrant grant{
+        .askId = 7, .workspace = WorkspaceName("w"), .granted = 1, .dryFor = std::chrono::milliseconds(30)};
+    const Frame granted = decodePackedFrame(encodePackedFrame(grant)).value();
+    CHECK(std::get<RateGrant>(granted).dryFor == grant.dryFor);
+}
+
+TEST(Codec, tableChangesSurvive)
+{
+    TableChanges changes;
+    changes.requestId = 4;
+    changes.known = true;
+    changes.version = 12;
+    changes.age = std::chrono::milliseconds(40);
+    changes.rows = {{.key = "k", .value = std::string("a\0b", 3), .version = 11, .deleted = false},
+                    {.key = "l", .value = "", .version = 12, .deleted = true}};
+    const Frame decoded = decodeFrame(encodeFrame(changes)).value();
+    const TableChanges &copy = std::get<TableChanges>(decoded);
+    CHECK(copy.known);
+    CHECK(copy.age == changes.age);
+    CHECK(copy.rows.at(0).value == changes.rows.at(0).value);
+    CHECK(copy.rows.at(1).deleted);
+}
+
+TEST(Codec, negativeCountsAndSpansAreRefused)
+{
+    RateAsk ask;
+    ask.wanted = -1;
+    CHECK(decodePackedFrame(encodePackedFrame(ask)).has_error());
+    RateGrant grant;
+    grant.granted = -1;
+    CHECK(decodePackedFrame(encodePackedFrame(grant)).has_error());
+    TableWatch watch;
+    watch.wait = Duration(-1);
+    CHECK(decodeFrame(encodeFrame(watch)).has_error());
+    TableChanges changes;
+    changes.age = Duration(-1);
+    CHECK(decodeFrame(encodeFrame(changes)).has_error());
+}
