Handle pipelined requests of one connection at the same time

Change: up to 32 requests of a connection are handled at the same time and answered in their order. While draining an answer asks for closing only when nothing behind it is under way.

--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -35,7 +35,8 @@
     virtual void onCallerGone(ExchangeId exchange) = 0;
 };
 
-/// Event-driven HTTP/1.1 server. Requests are read whole; pipelined ones are handled in turn.
+/// Event-driven HTTP/1.1 server. Requests are read whole; pipelined ones are handled at the same time and answered in
+/// their order.
 class IHttpServer
 {
 public:
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -30,8 +31,10 @@
 
 /// Bytes read at once from a caller.
 constexpr std::size_t ReadBytes = 16384;
-/// Unparsed bytes of pipelined requests after which a connection is not read until its answer is sent.
+/// Unparsed bytes of pipelined requests after which a connection is not read until an answer is sent.
 constexpr std::size_t PipelineBytes = 65536;
+/// Requests of one connection that are handled at the same time.
+constexpr std::size_t PipelineRequests = 32;
 /// How often time-outs of connections are looked at.
 constexpr Duration SweepInterval = std::chrono::milliseconds(500);
 /// Longest time to send one answer to a caller that reads slowly.
@@ -43,12 +46,13 @@
 /// Pause of accepting when the process has no file descriptor left.
 constexpr Duration AcceptPause = std::chrono::milliseconds(50);
 
+/// What a connection is waiting for.
 enum class Phase {
-    Idle, ///< Between two requests.
-    Reading, ///< A part of a request has come.
-    Handling, ///< The listener has the request.
-    Sending, ///< The answer is being written.
-    Closing, ///< The last answer is sent; what the caller still sends is dropped until it closes.
+    Idle, ///< The next request.
+    Reading, ///< The rest of a request.
+    Handling, ///< The listener's answer.
+    Sending, ///< The caller, which takes an answer.
+    Closing, ///< The caller's end; the last answer is sent, and what still comes is dropped.
 };
 
 class HttpServer final : public IHttpServer
@@ -109,6 +113,14 @@
     }
 
 private:
+    /// A request that was taken, until its answer is sent.
+    struct Exchange {
+        ExchangeId id;
+        bool head = false; ///< The answer has no body.
+        std::size_t bytes = 0; ///< Of the request.
+        std::optional<HttpResponse> response; ///< Waits until the requests before it are answered.
+    };
+
     struct Connection {
         explicit Connection(Tcp::socket accepted)
             : socket(std::move(accepted))
@@ -121,13 +133,13 @@
         std::optional<http::request_parser<http::string_body>> parser;
         std::string output;
         std::string peerAddress;
-        Phase phase = Phase::Idle;
-        ExchangeId exchange;
+        std::deque<Exchange> exchanges; ///< In the order of the requests.
         TimePoint since; ///< Start of the phase.
         bool readPending = false;
         bool used = false; ///< A request has been answered on it.
-        bool closeAfterAnswer = false;
-        bool headRequest = false; ///< The answer has no body.
+        bool ending = false; ///< No further request is taken; the last answer asks for closing.
+        bool sending = false;
+        bool closing = false;
         std::size_t held = 0; ///< Bytes counted for this connection in m_bytesHeld.
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
@@ -141,11 +153,13 @@
     static bool hasLeft(Connection &connection);
     bool takeRequest(const ConnectionPointer &connection);
     void refuse(const ConnectionPointer &connection, int status);
-    void send(const ConnectionPointer &connection, const HttpResponse &response);
+    void sendNext(const ConnectionPointer &connection);
+    static std::string format(const Exchange &exchange, bool lastAnswer);
     void linger(const ConnectionPointer &connection);
     void close(const ConnectionPointer &connection);
-    void setPhase(const ConnectionPointer &connection, Phase phase);
-    void hold(const ConnectionPointer &connection, std::size_t bytes);
+    static Phase phase(const Connection &connection);
+    static bool takesRequests(const Connection &connection);
+    void countBytes(Connection &connection);
 
     EventLoop &m_loop;
     IHttpListener &m_listener;
@@ -193,7 +207,7 @@
     std::vector<ConnectionPointer> idle;
     for (const auto &[id, connection] : m_connections) {
         // A connection that was just accepted is about to send its first request.
-        if ((connection->phase == Phase::Idle && connection->used) || connection->phase == Phase::Closing) {
+        if ((phase(*connection) == Phase::Idle && connection->used) || connection->closing) {
             idle.push_back(connection);
         }
     }
@@ -216,10 +230,11 @@
     std::vector<ConnectionPointer> expired;
     for (const auto &[id, connection] : m_connections) {
         const Duration age = now - connection->since;
-        const bool late = (connection->phase == Phase::Idle && age > m_limits.idleTimeout)
-            || (connection->phase == Phase::Reading && age > m_limits.headTimeout + m_limits.idleTimeout)
-            || (connection->phase == Phase::Sending && age > SendTimeout)
-            || (connection->phase == Phase::Closing && age > LingerTimeout);
+        const Phase current = phase(*connection);
+        const bool late = (current == Phase::Idle && age > m_limits.idleTimeout)
+            || (current == Phase::Reading && age > m_limits.headTimeout + m_limits.idleTimeout)
+            || (current == Phase::Sending && age > SendTimeout)
+            || (current == Phase::Closing && age > LingerTimeout);
         if (late) {
             expired.push_back(connection);
         }
@@ -260,27 +275,30 @@
 
 void HttpServer::onBytes(const ConnectionPointer &connection, std::size_t bytes)
 {
-    if (connection->phase != Phase::Closing) {
+    if (!connection->closing && !connection->ending) {
         const auto room = connection->input.prepare(bytes);
         connection->input.commit(asio::buffer_copy(room, asio::buffer(m_chunk.data(), bytes)));
     }
-    if (connection->phase == Phase::Idle || connection->phase == Phase::Reading) {
-        parse(connection);
-    }
-    if (connection->input.size() < PipelineBytes || connection->phase == Phase::Reading) {
+    parse(connection);
+    if (connection->input.size() < PipelineBytes || takesRequests(*connection)) {
         read(connection);
     }
 }
 
+bool HttpServer::takesRequests(const Connection &connection)
+{
+    return !connection.ending && !connection.closing && connection.exchanges.size() < PipelineRequests;
+}
+
 void HttpServer::parse(const ConnectionPointer &connection)
 {
-    while (connection->input.size() > 0 && (connection->phase == Phase::Idle || connection->phase == Phase::Reading)) {
+    while (connection->input.size() > 0 && takesRequests(*connection)) {
         if (!connection->parser) {
             connection->parser.emplace();
             connection->parser->eager(true);
             connection->parser->header_limit(static_cast<std::uint32_t>(m_limits.headBytes));
             connection->parser->body_limit(m_limits.bodyBytes);
-            setPhase(connection, Phase::Reading);
+            connection->since = connection->exchanges.empty() ? m_clock.now() : connection->since;
         }
         error_code error;
         const std::size_t used = connection->parser->put(connection->input.data(), error);
@@ -289,7 +307,7 @@
             refuse(connection, 400);
             return;
         }
-        hold(connection, connection->parser->get().body().size());
+        countBytes(*connection);
         if (m_bytesHeld > m_limits.memoryBytes) {
             ServerLog.warning("The memory for requests is used up; a request is refused.",
                               {{"bytes", std::to_string(m_bytesHeld)}});
@@ -334,23 +352,28 @@
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
     request.body = std::move(message.body());
-    connection->closeAfterAnswer = !message.keep_alive();
-    connection->headRequest = message.method() == http::verb::head;
-    hold(connection, request.body.size() + request.target.size());
-    setPhase(connection, Phase::Handling);
-    connection->exchange = ExchangeId{++m_lastId};
-    m_exchanges.emplace(connection->exchange, connection->id);
-    m_listener.onRequest(connection->exchange, std::move(request), connection->peerAddress);
+    connection->ending |= !message.keep_alive();
+    Exchange exchange;
+    exchange.id = ExchangeId{++m_lastId};
+    exchange.head = message.method() == http::verb::head;
+    exchange.bytes = request.body.size() + request.target.size();
+    const ExchangeId id = exchange.id;
+    connection->exchanges.push_back(std::move(exchange));
+    countBytes(*connection);
+    m_exchanges.emplace(id, connection->id);
+    m_listener.onRequest(id, std::move(request), connection->peerAddress);
     return connection->socket.is_open();
 }
 
+/// Answers bytes that are no request to take, after the requests before them. The rest of what comes is not read.
 void HttpServer::refuse(const ConnectionPointer &connection, int status)
 {
     connection->parser.reset();
-    connection->closeAfterAnswer = true;
-    HttpResponse response;
-    response.status = status;
-    send(connection, response);
+    connection->ending = true;
+    Exchange exchange;
+    exchange.response.emplace().status = status;
+    connection->exchanges.push_back(std::move(exchange));
+    sendNext(connection);
 }
 
 void HttpServer::respond(ExchangeId exchange, HttpResponse response)
@@ -361,54 +384,79 @@
     }
     const ConnectionPointer connection = m_connections.at(entry->second);
     m_exchanges.erase(entry);
-    connection->exchange = {};
-    send(connection, response);
+    for (Exchange &item : connection->exchanges) {
+        if (item.id == exchange) {
+            item.response = std::move(response);
+        }
+    }
+    sendNext(connection);
 }
 
-void HttpServer::send(const ConnectionPointer &connection, const HttpResponse &response)
+/// Sends the next answer when it is there. An answer asks for closing only when it is the last one, since requests
+/// behind it may run already.
+void HttpServer::sendNext(const ConnectionPointer &connection)
 {
-    connection->closeAfterAnswer |= response.closeConnection || m_draining;
-    std::string &out = connection->output;
-    out = absl::StrCat("HTTP/1.1 ", response.status, " ", std::string(reasonPhrase(response.status)), "\r\n");
+    if (connection->sending || connection->exchanges.empty() || !connection->exchanges.front().response) {
+        countBytes(*connection);
+        return;
+    }
+    const Exchange exchange = std::move(connection->exchanges.front());
+    connection->exchanges.pop_front();
+    connection->ending |= exchange.response->closeConnection || m_draining;
+    const bool last = connection->ending && connection->exchanges.empty();
+    connection->output = format(exchange, last);
+    connection->sending = true;
+    connection->since = m_clock.now();
+    countBytes(*connection);
+    asio::async_write(connection->socket,
+                      asio::buffer(connection->output),
+                      [this, connection, last](const error_code &error, std::size_t /*bytes*/) {
+                          if (!connection->socket.is_open()) {
+                              return;
+                          }
+                          connection->sending = false;
+                          connection->output.clear();
+                          countBytes(*connection);
+                          if (error) {
+                              close(connection);
+                              return;
+                          }
+                          if (last) {
+                              linger(connection);
+                              return;
+                          }
+                          connection->used = true;
+                          connection->since = m_clock.now();
+                          sendNext(connection);
+                          parse(connection);
+                          read(connection);
+                      });
+}
+
+std::string HttpServer::format(const Exchange &exchange, bool lastAnswer)
+{
+    const HttpResponse &response = *exchange.response;
+    std::string out =
+        absl::StrCat("HTTP/1.1 ", response.status, " ", std::string(reasonPhrase(response.status)), "\r\n");
     for (const auto &[name, value] : response.headers) {
         absl::StrAppend(&out, name, ": ", value, "\r\n");
     }
     if (response.status != 204 && response.status != 304) {
         absl::StrAppend(&out, "Content-Length: ", response.body.size(), "\r\n");
     }
-    out += connection->closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
-    if (!connection->headRequest) {
+    out += lastAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    if (!exchange.head) {
         out += response.body;
     }
-    hold(connection, out.size());
-    setPhase(connection, Phase::Sending);
-    asio::async_write(
-        connection->socket, asio::buffer(out), [this, connection](const error_code &error, std::size_t /*bytes*/) {
-            if (!connection->socket.is_open()) {
-                return;
-            }
-            connection->output.clear();
-            hold(connection, 0);
-            if (error) {
-                close(connection);
-                return;
-            }
-            if (connection->closeAfterAnswer) {
-                linger(connection);
-                return;
-            }
-            connection->used = true;
-            setPhase(connection, Phase::Idle);
-            parse(connection);
-            read(connection);
-        });
+    return out;
 }
 
 void HttpServer::linger(const ConnectionPointer &connection)
 {
     error_code ignored; // The peer may have closed first.
     connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
-    setPhase(connection, Phase::Closing);
+    connection->closing = true;
+    connection->since = m_clock.now();
     connection->input.clear();
     read(connection);
 }
@@ -418,25 +466,40 @@
     if (m_connections.erase(connection->id) == 0) {
         return;
     }
-    hold(connection, 0);
+    m_bytesHeld -= connection->held;
+    connection->held = 0;
     error_code ignored; // The peer may have closed first.
     connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
     connection->socket.close(ignored);
-    if (connection->exchange.value != 0 && m_exchanges.erase(connection->exchange) == 1) {
-        m_listener.onCallerGone(connection->exchange);
+    for (const Exchange &exchange : connection->exchanges) {
+        if (m_exchanges.erase(exchange.id) == 1) {
+            m_listener.onCallerGone(exchange.id);
+        }
     }
 }
 
-void HttpServer::setPhase(const ConnectionPointer &connection, Phase phase)
+Phase HttpServer::phase(const Connection &connection)
 {
-    connection->phase = phase;
-    connection->since = m_clock.now();
+    if (connection.closing) {
+        return Phase::Closing;
+    }
+    if (connection.sending) {
+        return Phase::Sending;
+    }
+    if (!connection.exchanges.empty()) {
+        return Phase::Handling;
+    }
+    return connection.parser ? Phase::Reading : Phase::Idle;
 }
 
-void HttpServer::hold(const ConnectionPointer &connection, std::size_t bytes)
+void HttpServer::countBytes(Connection &connection)
 {
-    m_bytesHeld += bytes - connection->held;
-    connection->held = bytes;
+    std::size_t bytes = connection.output.size() + (connection.parser ? connection.parser->get().body().size() : 0);
+    for (const Exchange &exchange : connection.exchanges) {
+        bytes += exchange.bytes + (exchange.response ? exchange.response->body.size() : 0);
+    }
+    m_bytesHeld += bytes - connection.held;
+    connection.held = bytes;
 }
 
 } // namespace
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -176,6 +176,74 @@
     }
 }
 
+TEST(HttpServer, pipelinedRequestsAreHandledAtTheSameTimeAndAnsweredInOrder)
+{
+    // A caller that sends its next requests before the first, slow one is answered.
+    listener.answering = false;
+    RawConnection connection(loop, server->port());
+    connection.send("GET /slow HTTP/1.1\r\nHost: x\r\n\r\nGET /quick HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 2;
+    }));
+    listener.answer(1);
+    loop.context().restart();
+    loop.context().run_for(1ms);
+    listener.answer(0);
+    const std::string answers = connection.readUntil("/quick");
+    CHECK(answers.find("/slow") < answers.find("/quick"));
+}
+
+TEST(HttpServer, aCallerThatLeavesEndsAllItsPipelinedRequests)
+{
+    listener.answering = false;
+    RawConnection connection(loop, server->port());
+    connection.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 2;
+    }));
+    connection.close();
+    CHECK(runUntil(loop, [&] {
+        return listener.gone.size() == 2;
+    }));
+    LONGS_EQUAL(0, server->bytesHeld());
+}
+
+TEST(HttpServer, drainingAnswersAllThatWasTakenAndTakesNoMore)
+{
+    listener.answering = false;
+    RawConnection connection(loop, server->port());
+    connection.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 2;
+    }));
+    server->startDraining();
+    listener.answer(0);
+    const std::string first = connection.readUntil("/1");
+    CHECK(first.find("Connection: close") == std::string::npos);
+    connection.send("GET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+    loop.context().restart();
+    loop.context().run_for(5ms);
+    listener.answer(1);
+    STRCMP_CONTAINS("Connection: close", connection.readUntil("/2").c_str());
+    CHECK(connection.waitForClose());
+    LONGS_EQUAL(2, listener.exchanges.size());
+}
+
+TEST(HttpServer, aMalformedRequestBehindOthersIsRefusedAfterTheirAnswers)
+{
+    listener.answering = false;
+    RawConnection connection(loop, server->port());
+    connection.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nContent-Length: 1\r\n"
+                    "Content-Length: 2\r\n\r\n");
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 1;
+    }));
+    listener.answer(0);
+    const std::string answers = connection.readUntil("400");
+    CHECK(answers.find("/1") < answers.find("400"));
+    CHECK(connection.waitForClose());
+}
+
 TEST(HttpServer, bothLengthAndChunksAreRefused)
 {
     expectRefusal("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
