Follow the store's tables through one node of each zone

Change: the relay of a zone follows the tables for it; the other nodes watch the relay, whose answers tell when its copy was confirmed, counted so that it is never too young. A node whose source is silent, has lost the store, or does not know the changes since its version asks the store itself.

--- a/src/fleet/internal/noderegistry.cpp
+++ b/src/fleet/internal/noderegistry.cpp
@@ -123,7 +123,7 @@
     m_listener.onNode(entry.value());
 }
 
-void NodeRegistry::onConfirmed(Duration /*serviceClock*/, Duration /*sent*/, Duration /*received*/)
+void NodeRegistry::onConfirmed(const StoreConfirmation & /*confirmation*/)
 {
     writeOwn();
 }
--- a/src/routes/internal/configfreshness.cpp
+++ b/src/fleet/internal/storefreshness.cpp
@@ -1,11 +1,17 @@
-#include "routes/configfreshness.h"
+#include "fleet/storefreshness.h"
 
 #include <algorithm>
 
 namespace vanillatack {
 
-void ConfigFreshness::confirm(Duration storeClock, Duration sent, Duration received)
+void StoreFreshness::confirm(const StoreConfirmation &confirmation)
 {
+    const auto [storeClock, sent, received, passedOn] = confirmation;
+    if (passedOn) {
+        const Duration made = std::min(*passedOn, received);
+        m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, made) : made;
+        return;
+    }
     // The answer was made after sending: local time of the answer >= sent.
     const Duration offset = storeClock - sent;
     // A store that was replaced starts its clock anew; then the old bound says nothing.
@@ -15,7 +21,7 @@
     m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, made) : made;
 }
 
-std::optional<Duration> ConfigFreshness::age(Duration now) const
+std::optional<Duration> StoreFreshness::age(Duration now) const
 {
     if (!m_confirmedAt) {
         return std::nullopt;
--- a/src/fleet/internal/tablemirror.cpp
+++ b/src/fleet/internal/tablemirror.cpp
@@ -136,7 +136,10 @@
         m_reachable = true;
         m_listener.onReachable(true, TableEnd::Done);
     }
-    m_listener.onConfirmed(answer.serviceClock, m_sentAt, m_clock.elapsed());
+    m_listener.onConfirmed({.serviceClock = answer.serviceClock,
+                            .sent = m_sentAt,
+                            .received = m_clock.elapsed(),
+                            .confirmedAt = answer.confirmedAt});
 }
 
 void TableMirror::retryLater(TableEnd reason, std::function<void()> next)
--- a/src/fleet/iversionedtable.h
+++ b/src/fleet/iversionedtable.h
@@ -35,6 +35,9 @@
     std::uint64_t version = 0; ///< Newest version of the service when it answered.
     Duration serviceClock{0}; ///< The service's steady clock when it answered.
     bool hasMore = false;
+    /// Local time at which the answer was still the newest state, where another node has passed it on; serviceClock is
+    /// unknown then.
+    std::optional<Duration> confirmedAt = std::nullopt;
 };
 
 /// A write of one row under the condition that it has the given version; version 0: it does not exist.
--- a/src/fleet/noderegistry.h
+++ b/src/fleet/noderegistry.h
@@ -44,7 +44,7 @@
 
 private:
     void onRow(const VersionedRow &row) override;
-    void onConfirmed(Duration serviceClock, Duration sent, Duration received) override;
+    void onConfirmed(const StoreConfirmation &confirmation) override;
     void onReachable(bool reachable, TableEnd reason) override;
 
     void writeOwn();
--- a/src/routes/configfreshness.h
+++ b/src/fleet/storefreshness.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/clock.h"
+#include "fleet/storeconfirmation.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,12 +9,11 @@
 
 /// Bounds the age of what a node knows of the store, from the store's own clock in its answers. All local times are of
 /// a clock that also counts while the VM is suspended.
-class ConfigFreshness
+class StoreFreshness
 {
 public:
-    /// An answer of the store that carries its clock: everything that was acknowledged before was in that answer.
-    /// sent and received are local times; the answer was made at some moment between them.
-    void confirm(Duration storeClock, Duration sent, Duration received);
+    /// Everything that the store acknowledged before the confirmation is known.
+    void confirm(const StoreConfirmation &confirmation);
 
     /// Upper bound of the time since the newest confirmation; nullopt before the first.
     [[nodiscard]] std::optional<Duration> age(Duration now) const;
--- a/src/fleet/tablemirror.h
+++ b/src/fleet/tablemirror.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "fleet/iversionedtable.h"
+#include "fleet/storeconfirmation.h"
 
 #include <map>
 
@@ -16,8 +17,8 @@
     /// A row is new, has changed, or is gone (deleted).
     virtual void onRow(const VersionedRow &row) = 0;
 
-    /// The mirror was the newest state at the moment of the service's clock. sent and received are local times.
-    virtual void onConfirmed(Duration serviceClock, Duration sent, Duration received) = 0;
+    /// The mirror was the newest state.
+    virtual void onConfirmed(const StoreConfirmation &confirmation) = 0;
 
     /// The service was lost or is heard again.
     virtual void onReachable(bool reachable, TableEnd reason) = 0;
--- /dev/null
+++ b/src/fleet/tests/zonefeed_tests.cpp
@@ -0,0 +1,240 @@
+#include "fleet/tests/faketable.h"
+#include "fleet/zonefeed.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillatack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Config("config");
+
+/// A clock that the test moves, which counts suspensions.
+class TestClock final : public IClock
+{
+public:
+    [[nodiscard]] TimePoint now() const override
+    {
+        return TimePoint(time);
+    }
+    [[nodiscard]] Duration elapsed() const override
+    {
+        return time;
+    }
+    [[nodiscard]] WallTime wallNow() const override
+    {
+        return {};
+    }
+
+    Duration time = 1000s;
+};
+
+} // namespace
+
+/// A node that watches its zone's source, and the source; each has a way of its own to the store.
+TEST_GROUP(ZoneFeed)
+{
+    struct Watches final : IZoneWatches {
+        struct Sent {
+            NodeName node;
+            TableWatch watch;
+            std::function<void(std::optional<TableChanges>)> completion;
+        };
+
+        [[nodiscard]] std::optional<NodeName> source() const override
+        {
+            return current;
+        }
+        SentWatchId send(const NodeName &node,
+                         TableWatch watch,
+                         std::function<void(std::optional<TableChanges>)> completion) override
+        {
+            sent.push_back({node, std::move(watch), std::move(completion)});
+            return SentWatchId{sent.size()};
+        }
+        void cancel(SentWatchId watch) override
+        {
+            cancelled.push_back(watch);
+        }
+        void answer(PeerWatchId watch, TableChanges changes) override
+        {
+            answers.emplace_back(watch, std::move(changes));
+        }
+
+        std::optional<NodeName> current;
+        std::vector<Sent> sent;
+        std::vector<SentWatchId> cancelled;
+        std::vector<std::pair<PeerWatchId, TableChanges>> answers;
+    };
+
+    TestClock clock;
+    FakeTable store;
+    Watches watches;
+    std::vector<std::pair<Duration, std::function<void()>>> timers;
+    ZoneFeed feed{store,
+                  clock,
+                  [this](Duration delay, std::function<void()> call) {
+                      timers.emplace_back(clock.time + delay, std::move(call));
+                  },
+                  watches};
+    std::vector<TableAnswer> answers;
+
+    void watch(std::uint64_t after)
+    {
+        feed.watch(Config, after, 1s, [this](TableAnswer answer) {
+            answers.push_back(std::move(answer));
+        });
+    }
+
+    /// The source reads the store once, so that it has a copy.
+    void follow()
+    {
+        store.put("a", "1");
+        watch(0);
+        store.answer();
+    }
+
+    void advance(Duration time)
+    {
+        clock.time += time;
+        for (auto &[due, call] : timers) {
+            if (due <= clock.time && call) {
+                std::exchange(call, nullptr)();
+            }
+        }
+    }
+
+    static TableChanges known(std::uint64_t version, Duration confirmedAfter)
+    {
+        TableChanges changes;
+        changes.known = true;
+        changes.version = version;
+        changes.confirmedAfter = confirmedAfter;
+        return changes;
+    }
+};
+
+TEST(ZoneFeed, withoutASourceTheStoreIsWatched)
+{
+    store.put("a", "1");
+    watch(0);
+    LONGS_EQUAL(1, store.calls.size());
+    store.answer();
+    LONGS_EQUAL(1, answers.at(0).rows.size());
+    CHECK(!answers[0].confirmedAt.has_value());
+}
+
+TEST(ZoneFeed, theSourcesAnswerCostsNoCallAndTellsWhenItWasTrue)
+{
+    watches.current = NodeName("s");
+    watch(3);
+    LONGS_EQUAL(0, store.calls.size());
+    LONGS_EQUAL(3, watches.sent.at(0).watch.afterVersion);
+    advance(600ms);
+    watches.sent[0].completion(known(3, 550ms));
+    LONGS_EQUAL(3, answers.at(0).version);
+    CHECK(*answers[0].confirmedAt == 1000s + 550ms);
+    LONGS_EQUAL(0, store.calls.size());
+}
+
+TEST(ZoneFeed, versionsNeverFallWhenTheSourceIsBehind)
+{
+    watches.current = NodeName("s");
+    watch(8);
+    watches.sent[0].completion(known(5, 0ms));
+    LONGS_EQUAL(8, answers.at(0).version);
+}
+
+TEST(ZoneFeed, aSourceThatLostTheStoreOrKnowsNothingIsPassedOver)
+{
+    watches.current = NodeName("s");
+    watch(3);
+    advance(1s);
+    watches.sent[0].completion(known(3, -2s)); // Three seconds old.
+    LONGS_EQUAL(1, store.calls.size());
+    watch(3);
+    watches.sent[1].completion(TableChanges{});
+    LONGS_EQUAL(2, store.calls.size());
+    watch(3);
+    watches.sent[2].completion(std::nullopt);
+    LONGS_EQUAL(3, store.calls.size());
+    LONGS_EQUAL(0, answers.size());
+}
+
+TEST(ZoneFeed, aSourceThatDoesNotAnswerIsPassedOverAndItsLateAnswerIgnored)
+{
+    watches.current = NodeName("s");
+    watch(3);
+    advance(1600ms);
+    LONGS_EQUAL(1, watches.cancelled.size());
+    LONGS_EQUAL(1, store.calls.size());
+    watches.sent[0].completion(known(4, 0ms));
+    LONGS_EQUAL(0, answers.size());
+}
+
+TEST(ZoneFeed, theSourceAnswersAtOnceWhenThereAreChanges)
+{
+    follow();
+    feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 0, .wait = 1s});
+    LONGS_EQUAL(1, watches.answers.size());
+    LONGS_EQUAL(1, watches.answers[0].second.rows.size());
+    feed.onWatch(PeerWatchId{8}, {.requestId = 0, .table = Config, .afterVersion = 1, .wait = 1s});
+    LONGS_EQUAL(1, watches.answers.size());
+    store.put("a", "2");
+    store.drop("a");
+    watch(1);
+    store.answer();
+    LONGS_EQUAL(2, watches.answers.size());
+    CHECK(watches.answers[1].second.rows.at(0).deleted);
+    LONGS_EQUAL(3, watches.answers[1].second.version);
+}
+
+TEST(ZoneFeed, theSourceConfirmsFreshlyAfterHalfTheWait)
+{
+    follow();
+    feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 1, .wait = 1s});
+    advance(600ms);
+    LONGS_EQUAL(0, watches.answers.size());
+    watch(1);
+    store.answer();
+    LONGS_EQUAL(1, watches.answers.size());
+    CHECK(watches.answers[0].second.confirmedAfter == 600ms);
+}
+
+TEST(ZoneFeed, withoutConfirmationTheSourceTellsHowOldItsCopyIs)
+{
+    follow();
+    advance(2s);
+    feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 1, .wait = 1s});
+    advance(1s);
+    LONGS_EQUAL(1, watches.answers.size());
+    CHECK(watches.answers[0].second.known);
+    CHECK(watches.answers[0].second.confirmedAfter <= -2s);
+}
+
+TEST(ZoneFeed, aSourceDoesNotAnswerForChangesItHasNotSeen)
+{
+    for (int i = 0; i < 5; ++i) {
+        store.put("a", "1");
+    }
+    watch(4);
+    store.answer();
+    feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 2, .wait = 1s});
+    LONGS_EQUAL(1, watches.answers.size());
+    CHECK(!watches.answers[0].second.known);
+    feed.onWatch(PeerWatchId{8}, {.requestId = 0, .table = "other", .afterVersion = 2, .wait = 1s});
+    LONGS_EQUAL(2, watches.answers.size());
+    CHECK(!watches.answers[1].second.known);
+}
+
+TEST(ZoneFeed, abandonedWatchesAreForgotten)
+{
+    follow();
+    feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 1, .wait = 1s});
+    feed.onWatchAbandoned(PeerWatchId{7});
+    advance(2s);
+    LONGS_EQUAL(0, watches.answers.size());
+}
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -42,21 +42,22 @@
 
     Result<void> listen(const Endpoint &endpoint) override;
     OutgoingCallId call(const Endpoint &node, CallRequest request, PeerCompletion completion) override;
+    OutgoingCallId watchTable(const Endpoint &node, TableWatch watch, PeerTableCompletion completion) override;
     void cancel(OutgoingCallId call) override;
     void reply(PeerCallId call, CallReply reply) override;
+    void replyTable(PeerCallId call, TableChanges changes) override;
     void send(const std::vector<Endpoint> &nodes, const PeerDatagram &message) override;
 
 private:
     struct Outgoing {
         Endpoint node;
-        PeerCompletion completion;
-        bool sent = false;
+        std::function<void(PeerCallEnd, Frame)> completion;
     };
 
     /// The connection to one node and the calls on it.
     struct Peer {
         FramePointer connection; ///< Empty while connecting.
-        std::map<OutgoingCallId, CallRequest> waiting; ///< Until the connection is there.
+        std::map<OutgoingCallId, Frame> waiting; ///< Until the connection is there.
         std::map<OutgoingCallId, bool> out;
         TimePoint probedAt;
         TimePoint cancelledAt; ///< Last cancellation; whether it arrived is known once the node is heard again.
@@ -86,9 +87,12 @@
     void abandonCalls(const FramePointer &connection);
     Duration heldUp(Caller &caller, Duration sentAt) const;
     void refuseLate(const FramePointer &connection, const CallRequest &request);
+    void sendCall(OutgoingCallId id, const Endpoint &node, Frame frame);
+    PeerCallId addIncoming(const FramePointer &connection, std::uint64_t requestId);
+    FramePointer takeIncoming(PeerCallId call, std::uint64_t &requestId);
     void failPeer(const Endpoint &node);
     void watch(const Endpoint &node);
-    void complete(OutgoingCallId call, PeerCallEnd end, CallReply reply);
+    void complete(OutgoingCallId call, PeerCallEnd end, Frame reply = CallReply{});
 
     EventLoop &m_loop;
     IPeerListener &m_listener;
@@ -210,26 +214,47 @@
     const OutgoingCallId id{++m_lastId};
     request.requestId = id.value;
     request.sentAt = m_clock.elapsed();
-    m_outgoing.emplace(id, Outgoing{node, std::move(completion), false});
+    m_outgoing.emplace(id, Outgoing{node, [completion = std::move(completion)](PeerCallEnd end, Frame frame) {
+                                        auto *reply = std::get_if<CallReply>(&frame);
+                                        completion(reply ? end : PeerCallEnd::Broken,
+                                                   reply ? std::move(*reply) : CallReply{});
+                                    }});
+    sendCall(id, node, std::move(request));
+    return id;
+}
+
+OutgoingCallId PeerLink::watchTable(const Endpoint &node, TableWatch watch, PeerTableCompletion completion)
+{
+    const OutgoingCallId id{++m_lastId};
+    watch.requestId = id.value;
+    m_outgoing.emplace(id, Outgoing{node, [completion = std::move(completion)](PeerCallEnd end, Frame frame) {
+                                        auto *changes = std::get_if<TableChanges>(&frame);
+                                        completion(end, changes ? std::move(*changes) : TableChanges{});
+                                    }});
+    sendCall(id, node, std::move(watch));
+    return id;
+}
+
+/// Sends a call on the connection to the node, or once there is one.
+void PeerLink::sendCall(OutgoingCallId id, const Endpoint &node, Frame frame)
+{
     Peer &peer = m_peers[node];
     if (peer.connection && peer.connection->backlog() > BacklogLimit) {
         boost::asio::post(m_loop.context(), [this, id] {
-            complete(id, PeerCallEnd::NotSent, {});
+            complete(id, PeerCallEnd::NotSent);
         });
-        return id;
+        return;
     }
     if (peer.connection) {
-        m_outgoing[id].sent = true;
         peer.out[id] = true;
-        peer.connection->send(request);
-        return id;
+        peer.connection->send(frame);
+        return;
     }
-    peer.waiting.emplace(id, std::move(request));
+    peer.waiting.emplace(id, std::move(frame));
     if (!peer.connecting) {
         peer.connecting = true;
         connect(node);
     }
-    return id;
 }
 
 void PeerLink::connect(const Endpoint &node)
@@ -265,7 +290,6 @@
     // Gives the other node a stamp that was not held up, before calls that waited for the connection.
     connection->send(LinkProbe{.sequence = ++m_lastId, .answer = false, .sentAt = m_clock.elapsed()});
     for (auto &[id, request] : peer.waiting) {
-        m_outgoing[id].sent = true;
         peer.out[id] = true;
         connection->send(request);
     }
@@ -300,13 +324,16 @@
 
 void PeerLink::onPeerFrame(const Endpoint &node, Frame frame)
 {
-    auto *reply = std::get_if<CallReply>(&frame);
-    if (!reply) {
+    OutgoingCallId id;
+    if (const auto *reply = std::get_if<CallReply>(&frame)) {
+        id.value = reply->requestId;
+    } else if (const auto *changes = std::get_if<TableChanges>(&frame)) {
+        id.value = changes->requestId;
+    } else {
         return;
     }
-    const OutgoingCallId id{reply->requestId};
     m_peers[node].out.erase(id);
-    complete(id, PeerCallEnd::Replied, std::move(*reply));
+    complete(id, PeerCallEnd::Replied, std::move(frame));
 }
 
 void PeerLink::failPeer(const Endpoint &node)
@@ -316,20 +343,20 @@
         return;
     }
     for (const auto &[id, request] : peer.mapped().waiting) {
-        complete(id, PeerCallEnd::NotSent, {});
+        complete(id, PeerCallEnd::NotSent);
     }
     for (const auto &[id, unused] : peer.mapped().out) {
-        complete(id, PeerCallEnd::Broken, {});
+        complete(id, PeerCallEnd::Broken);
     }
 }
 
-void PeerLink::complete(OutgoingCallId call, PeerCallEnd end, CallReply reply)
+void PeerLink::complete(OutgoingCallId call, PeerCallEnd end, Frame reply)
 {
     const auto entry = m_outgoing.find(call);
     if (entry == m_outgoing.end()) {
         return;
     }
-    const PeerCompletion completion = std::move(entry->second.completion);
+    const auto completion = std::move(entry->second.completion);
     m_outgoing.erase(entry);
     completion(end, std::move(reply));
 }
@@ -357,10 +384,9 @@
             refuseLate(connection, *request);
             return;
         }
-        const PeerCallId id{++m_lastId};
-        m_incoming.emplace(id, Incoming{connection, request->requestId});
-        m_callers[connection].calls[request->requestId] = id;
-        m_listener.onCall(id, std::move(*request));
+        m_listener.onCall(addIncoming(connection, request->requestId), std::move(*request));
+    } else if (auto *watch = std::get_if<TableWatch>(&frame)) {
+        m_listener.onTableWatch(addIncoming(connection, watch->requestId), std::move(*watch));
     } else if (const auto *cancel = std::get_if<CallCancel>(&frame)) {
         const auto call = m_callers[connection].calls.extract(cancel->requestId);
         if (!call.empty() && m_incoming.erase(call.mapped()) == 1) {
@@ -403,17 +429,40 @@
     }
 }
 
-void PeerLink::reply(PeerCallId call, CallReply reply)
+PeerCallId PeerLink::addIncoming(const FramePointer &connection, std::uint64_t requestId)
+{
+    const PeerCallId id{++m_lastId};
+    m_incoming.emplace(id, Incoming{connection, requestId});
+    m_callers[connection].calls[requestId] = id;
+    return id;
+}
+
+/// The connection on which the call is to be answered, or nullptr when it is over.
+FramePointer PeerLink::takeIncoming(PeerCallId call, std::uint64_t &requestId)
 {
     const auto entry = m_incoming.find(call);
     if (entry == m_incoming.end()) {
-        return;
+        return nullptr;
     }
     const Incoming incoming = entry->second;
     m_incoming.erase(entry);
     m_callers[incoming.connection].calls.erase(incoming.requestId);
-    reply.requestId = incoming.requestId;
-    incoming.connection->send(reply);
+    requestId = incoming.requestId;
+    return incoming.connection;
+}
+
+void PeerLink::reply(PeerCallId call, CallReply reply)
+{
+    if (const FramePointer connection = takeIncoming(call, reply.requestId)) {
+        connection->send(reply);
+    }
+}
+
+void PeerLink::replyTable(PeerCallId call, TableChanges changes)
+{
+    if (const FramePointer connection = takeIncoming(call, changes.requestId)) {
+        connection->send(changes);
+    }
 }
 
 } // namespace
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -28,7 +28,10 @@
     /// Answered by IPeerLink::reply(), at once or later.
     virtual void onCall(PeerCallId call, CallRequest request) = 0;
 
-    /// The calling node no longer waits, or its connection ended. The call is over.
+    /// Answered by IPeerLink::replyTable(), at once or later.
+    virtual void onTableWatch(PeerCallId call, TableWatch watch) = 0;
+
+    /// The calling node no longer waits, or its connection ended. The call or watch is over.
     virtual void onCallAbandoned(PeerCallId call) = 0;
 
     virtual void onDatagram(const PeerDatagram &message) = 0;
@@ -41,6 +44,7 @@
 };
 
 using PeerCompletion = std::function<void(PeerCallEnd, CallReply)>;
+using PeerTableCompletion = std::function<void(PeerCallEnd, TableChanges)>;
 
 struct PeerLinkSettings {
     Duration connectTimeout = std::chrono::seconds(1);
@@ -62,11 +66,15 @@
     /// The completion is called once, on the loop's thread, unless the call is cancelled.
     virtual OutgoingCallId call(const Endpoint &node, CallRequest request, PeerCompletion completion) = 0;
 
+    /// As call().
+    virtual OutgoingCallId watchTable(const Endpoint &node, TableWatch watch, PeerTableCompletion completion) = 0;
+
     /// Tells the node that nobody waits any more. Unknown calls are ignored.
     virtual void cancel(OutgoingCallId call) = 0;
 
     /// Answers a call. Calls that were abandoned are ignored.
     virtual void reply(PeerCallId call, CallReply reply) = 0;
+    virtual void replyTable(PeerCallId call, TableChanges changes) = 0;
 
     /// Sends a datagram to each of the nodes. Datagrams can be lost.
     virtual void send(const std::vector<Endpoint> &nodes, const PeerDatagram &message) = 0;
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -497,6 +497,10 @@
     {
         calls.emplace_back(call, std::move(request));
     }
+    void onTableWatch(PeerCallId call, TableWatch watch) override
+    {
+        watches.emplace_back(call, std::move(watch));
+    }
     void onCallAbandoned(PeerCallId call) override
     {
         abandoned.push_back(call);
@@ -507,6 +511,7 @@
     }
 
     std::vector<std::pair<PeerCallId, CallRequest>> calls;
+    std::vector<std::pair<PeerCallId, TableWatch>> watches;
     std::vector<PeerCallId> abandoned;
     std::vector<PeerDatagram> datagrams;
 };
@@ -687,3 +692,38 @@
     }));
     LONGS_EQUAL(2, std::get<RateAsk>(listenerB.datagrams[1]).wanted);
 }
+
+TEST(PeerLink, tableWatchesAreAnsweredOrBroken)
+{
+    std::vector<std::pair<PeerCallEnd, TableChanges>> answers;
+    const auto watch = [&] {
+        return linkA->watchTable(
+            addressB, {.requestId = 0, .table = "t", .afterVersion = 7, .wait = 1s}, [&](PeerCallEnd end, TableChanges changes) {
+                answers.emplace_back(end, std::move(changes));
+            });
+    };
+    watch();
+    CHECK(runUntil(loop, [&] {
+        return listenerB.watches.size() == 1;
+    }));
+    LONGS_EQUAL(7, listenerB.watches[0].second.afterVersion);
+    TableChanges changes;
+    changes.known = true;
+    changes.version = 9;
+    linkB->replyTable(listenerB.watches[0].first, changes);
+    CHECK(runUntil(loop, [&] {
+        return answers.size() == 1;
+    }));
+    CHECK(answers[0].first == PeerCallEnd::Replied);
+    LONGS_EQUAL(9, answers[0].second.version);
+    linkA->cancel(watch());
+    CHECK(runUntil(loop, [&] {
+        return listenerB.abandoned.size() == 1;
+    }));
+    watch();
+    linkB.reset();
+    CHECK(runUntil(loop, [&] {
+        return answers.size() == 2;
+    }));
+    CHECK(answers[1].first != PeerCallEnd::Replied);
+}
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -10,7 +10,7 @@
 #include "proxy/decisionlog.h"
 #include "proxy/internal/ingressproxy.h"
 #include "proxy/proxysettings.h"
-#include "routes/configfreshness.h"
+#include "fleet/storefreshness.h"
 #include "routes/routetable.h"
 
 #include <optional>
@@ -52,7 +52,7 @@
     /// Requests of callers on each route since the last call, without those beyond their workspace's rate.
     std::map<RouteName, int> takeOffered();
 
-    ConfigFreshness &freshness()
+    StoreFreshness &freshness()
     {
         return m_freshness;
     }
@@ -129,7 +129,7 @@
     IHttpServer *m_server = nullptr;
     IPeerLink *m_link = nullptr;
     RouteTable m_table;
-    ConfigFreshness m_freshness;
+    StoreFreshness m_freshness;
     bool m_refusing = false;
     std::uint64_t m_lastRequest = 0;
     std::map<RequestId, Request> m_requests;
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -244,6 +244,12 @@
     }
 }
 
+std::optional<NodeName> FleetControl::otherRelay() const
+{
+    const auto relay = m_detector.relay(m_parts.settings.zone, m_parts.clock.now());
+    return relay == m_parts.settings.node ? std::nullopt : relay;
+}
+
 std::vector<Endpoint> FleetControl::endpoints(const std::vector<NodeName> &nodes) const
 {
     std::vector<Endpoint> result;
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -27,6 +27,9 @@
     /// From now on the own instance is registered as not accepting.
     void leave();
 
+    /// The node of the zone that passes reports and tables on, when it is another one.
+    [[nodiscard]] std::optional<NodeName> otherRelay() const;
+
     [[nodiscard]] bool joined() const
     {
         return m_registry.loaded();
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -3,6 +3,7 @@
 #include "attempts/attemptssetup.h"
 #include "base/durations.h"
 #include "base/log.h"
+#include "fleet/zonefeed.h"
 #include "proxy/internal/fleetcontrol.h"
 
 #include <algorithm>
@@ -23,7 +24,7 @@
 /// How often asks for tokens are checked for a missing answer.
 constexpr Duration AskPoll = std::chrono::milliseconds(25);
 
-class TrafficNode final : public ITrafficNode, private IPeerListener, private IRateLink
+class TrafficNode final : public ITrafficNode, private IPeerListener, private IRateLink, private IZoneWatches
 {
 public:
     TrafficNode(EventLoop &loop,
@@ -42,7 +43,14 @@
         , m_retries(makeRetryBudget(clock, settings.freeRetries))
         , m_callRetries(makeRetryBudget(clock, 0))
         , m_egress(parts(random, metrics))
-        , m_control(parts(random, metrics), m_egress, table)
+        , m_feed(
+              table,
+              clock,
+              [&loop](Duration delay, std::function<void()> call) {
+                  loop.callAfter(delay, std::move(call));
+              },
+              *this)
+        , m_control(parts(random, metrics), m_egress, m_feed)
         , m_server(makeHttpServer(loop, m_egress))
         , m_link(makePeerLink(loop, *this, {}))
     {
@@ -54,10 +62,14 @@
     Result<void> start() override;
     void updateSettings(const ProxySettings &settings) override;
     void applyConfig(TrafficConfig config) override;
-    void confirmConfig(Duration storeClock, Duration sent, Duration received) override;
+    void confirmConfig(const StoreConfirmation &confirmation) override;
     void recordStoreReachable(bool reachable, const std::string &reason) override;
     AnnouncementVerdict announce(const InstanceAnnouncement &announcement) override;
     AnnouncementVerdict withdraw(const std::string &instance, std::uint64_t startedAtMs) override;
+    [[nodiscard]] IVersionedTable &tables() override
+    {
+        return m_feed;
+    }
     [[nodiscard]] bool isReady() const override;
     void shutDown(std::function<void()> done) override;
 
@@ -79,12 +91,19 @@
     }
 
     void onCall(PeerCallId call, CallRequest request) override;
+    void onTableWatch(PeerCallId call, TableWatch watch) override;
     void onCallAbandoned(PeerCallId call) override;
     void onDatagram(const PeerDatagram &message) override;
     void sendAsk(const NodeName &owner, const RateAsk &ask) override;
     void sendGrant(const NodeName &asker, const RateGrant &grant) override;
     void sendTo(const NodeName &node, const PeerDatagram &message);
     void watchAsks();
+    [[nodiscard]] std::optional<NodeName> source() const override;
+    SentWatchId send(const NodeName &node,
+                     TableWatch watch,
+                     std::function<void(std::optional<TableChanges>)> completion) override;
+    void cancel(SentWatchId watch) override;
+    void answer(PeerWatchId watch, TableChanges changes) override;
 
     void pollShutdown();
 
@@ -99,6 +118,7 @@
     std::unique_ptr<IRetryBudget> m_retries;
     std::unique_ptr<IRetryBudget> m_callRetries;
     EgressProxy m_egress;
+    ZoneFeed m_feed;
     FleetControl m_control;
     std::unique_ptr<IHttpServer> m_server;
     std::unique_ptr<IPeerLink> m_link;
@@ -152,9 +172,9 @@
     m_egress.setTable(RouteTable(std::move(config)));
 }
 
-void TrafficNode::confirmConfig(Duration storeClock, Duration sent, Duration received)
+void TrafficNode::confirmConfig(const StoreConfirmation &confirmation)
 {
-    m_egress.freshness().confirm(storeClock, sent, received);
+    m_egress.freshness().confirm(confirmation);
 }
 
 void TrafficNode::recordStoreReachable(bool reachable, const std::string &reason)
@@ -199,7 +219,47 @@
     const auto entry = m_calls.extract(call);
     if (!entry.empty()) {
         m_ingress.abandon(entry.mapped());
+    } else {
+        m_feed.onWatchAbandoned(PeerWatchId{call.value});
+    }
+}
+
+void TrafficNode::onTableWatch(PeerCallId call, TableWatch watch)
+{
+    m_feed.onWatch(PeerWatchId{call.value}, watch);
+}
+
+std::optional<NodeName> TrafficNode::source() const
+{
+    return m_control.joined() ? m_control.otherRelay() : std::nullopt;
+}
+
+SentWatchId TrafficNode::send(const NodeName &node,
+                              TableWatch watch,
+                              std::function<void(std::optional<TableChanges>)> completion)
+{
+    const NodeEntry *entry = m_directory.find(node);
+    if (entry == nullptr) {
+        m_loop.callAfter(Duration{0}, [completion = std::move(completion)] {
+            completion(std::nullopt);
+        });
+        return {};
     }
+    const OutgoingCallId id = m_link->watchTable(
+        entry->peer, std::move(watch), [completion = std::move(completion)](PeerCallEnd end, TableChanges changes) {
+            completion(end == PeerCallEnd::Replied ? std::optional(std::move(changes)) : std::nullopt);
+        });
+    return SentWatchId{id.value};
+}
+
+void TrafficNode::cancel(SentWatchId watch)
+{
+    m_link->cancel(OutgoingCallId{watch.value});
+}
+
+void TrafficNode::answer(PeerWatchId watch, TableChanges changes)
+{
+    m_link->replyTable(PeerCallId{watch.value}, std::move(changes));
 }
 
 void TrafficNode::onDatagram(const PeerDatagram &message)
--- a/src/proxy/trafficnode.h
+++ b/src/proxy/trafficnode.h
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/random.h"
 #include "fleet/iversionedtable.h"
+#include "fleet/storeconfirmation.h"
 #include "gate/localinstance.h"
 #include "metrics/imetrics.h"
 #include "net/eventloop.h"
@@ -30,12 +31,15 @@
     /// Takes a version of the configuration. Older ones than the one in force are ignored.
     virtual void applyConfig(TrafficConfig config) = 0;
 
-    /// The configuration in force was the newest one at the moment of the store's clock; see ConfigFreshness.
-    virtual void confirmConfig(Duration storeClock, Duration sent, Duration received) = 0;
+    /// The configuration in force was the newest one; see StoreFreshness.
+    virtual void confirmConfig(const StoreConfirmation &confirmation) = 0;
 
     /// The store of the configuration was lost or is heard again.
     virtual void recordStoreReachable(bool reachable, const std::string &reason) = 0;
 
+    /// The store's tables as the nodes of the zone follow them together; see ZoneFeed.
+    [[nodiscard]] virtual IVersionedTable &tables() = 0;
+
     /// The instance beside the node tells its state, or that it is gone.
     virtual AnnouncementVerdict announce(const InstanceAnnouncement &announcement) = 0;
     virtual AnnouncementVerdict withdraw(const std::string &instance, std::uint64_t startedAtMs) = 0;
--- a/src/wire/internal/reportcodec.cpp
+++ b/src/wire/internal/reportcodec.cpp
@@ -162,7 +162,7 @@
     out.setRequestId(in.requestId);
     out.setKnown(in.known);
     out.setVersion(in.version);
-    out.setAgeNs(in.age.count());
+    out.setConfirmedAfterNs(in.confirmedAfter.count());
     auto rows = out.initRows(in.rows.size());
     for (unsigned index = 0; index < in.rows.size(); ++index) {
         rows[index].setKey(in.rows[index].key);
@@ -178,7 +178,7 @@
     out.requestId = in.getRequestId();
     out.known = in.getKnown();
     out.version = in.getVersion();
-    out.age = toSpan(in.getAgeNs());
+    out.confirmedAfter = Duration(in.getConfirmedAfterNs());
     for (const auto row : in.getRows()) {
         out.rows.push_back({.key = toString(row.getKey()),
                             .value = toString(row.getValue()),
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -278,7 +278,7 @@
   requestId @0 :UInt64;
   known @1 :Bool;
   version @2 :UInt64;
-  ageNs @3 :Int64;
+  confirmedAfterNs @3 :Int64;
   rows @4 :List(TableRow);
 }
 
