Bridge the first seconds of a zone cut

In the first two seconds 2,092 requests got 429 and 657 found no owner of their rate, since the second owner deals out nothing before the first one counts as silent; calls went on to instances of the cut-off zone while the own ones were full, and were answered 502 or 504.

Change: a node that is asked without pledges deals out a part of the tolerance (0.15 in a window; the store of a full bucket falls from 0.5 to 0.35, so that the sum stays inside); nodes of other zones that have not reported for 0.9 s get no calls while the own zone can take them; bundles go each round, so that silence is noticed after 1.7 instead of 2.2 s; silent connections between nodes end after 1.8 s.

--- a/src/entrance/internal/rateledger.cpp
+++ b/src/entrance/internal/rateledger.cpp
@@ -10,10 +10,13 @@
 
 /// Part of the tolerance that a full bucket holds above the burst. The rest covers requests that were let in and are
 /// still under way, and owners that change.
-constexpr double StoredTolerance = 0.5;
+constexpr double StoredTolerance = 0.35;
 /// Part of the tolerance with which a node begins that becomes the owner. What the owner before it has dealt out lately
 /// is not known.
 constexpr double FirstTolerance = 0.2;
+/// Part of the tolerance that a node deals out in one window while nothing is pledged to it. It is asked then because
+/// the owner does not answer; the pledges follow once the owner counts as silent.
+constexpr double UnpledgedTolerance = 0.15;
 
 } // namespace
 
@@ -43,7 +46,7 @@
     Bucket &bucket = entry->second;
     fill(bucket, now);
     if (bucket.part == 0 && part > 0) {
-        bucket.tokens = FirstTolerance * beyond(bucket.limit) * part;
+        bucket.tokens = std::max(bucket.tokens, FirstTolerance * beyond(bucket.limit) * part);
     }
     bucket.part = part;
     bucket.tokens = std::min(bucket.tokens, capacity(bucket));
@@ -51,8 +54,10 @@
 
 void RateLedger::fill(Bucket &bucket, TimePoint now) const
 {
-    if (bucket.filledAt != TimePoint{}) {
-        bucket.tokens += bucket.limit.ratePerSecond * bucket.part * toSeconds(now - bucket.filledAt);
+    if (bucket.filledAt == TimePoint{}) {
+        bucket.tokens = bucket.part == 0 ? capacity(bucket) : bucket.tokens;
+    } else {
+        bucket.tokens += perSecond(bucket) * toSeconds(now - bucket.filledAt);
     }
     bucket.filledAt = now;
     bucket.tokens = std::min(bucket.tokens, capacity(bucket));
@@ -63,10 +68,15 @@
     return m_tolerance.share * (limit.ratePerSecond * m_tolerance.windowSeconds + limit.burst) + m_tolerance.requests;
 }
 
+double RateLedger::perSecond(const Bucket &bucket) const
+{
+    return bucket.part == 0 ? capacity(bucket) / m_tolerance.windowSeconds : bucket.limit.ratePerSecond * bucket.part;
+}
+
 double RateLedger::capacity(const Bucket &bucket) const
 {
     if (bucket.part == 0) {
-        return 0;
+        return UnpledgedTolerance * beyond(bucket.limit);
     }
     return std::max((bucket.limit.burst + StoredTolerance * beyond(bucket.limit)) * bucket.part, 1.0);
 }
@@ -83,9 +93,8 @@
     grant.granted = std::clamp(static_cast<int>(bucket.tokens), 0, wanted);
     bucket.tokens -= grant.granted;
     if (grant.granted < wanted) {
-        const double perSecond = bucket.limit.ratePerSecond * bucket.part;
-        grant.dryFor =
-            perSecond > 0 ? fromSeconds((1 - bucket.tokens) / perSecond) : fromSeconds(m_tolerance.windowSeconds);
+        const double rate = perSecond(bucket);
+        grant.dryFor = rate > 0 ? fromSeconds((1 - bucket.tokens) / rate) : fromSeconds(m_tolerance.windowSeconds);
     }
     return grant;
 }
--- a/src/entrance/internal/rateownership.cpp
+++ b/src/entrance/internal/rateownership.cpp
@@ -24,8 +24,7 @@
     if (candidates == m_candidates) {
         return;
     }
-    const bool removed =
-        !std::includes(candidates.begin(), candidates.end(), m_candidates.begin(), m_candidates.end());
+    const bool removed = !std::includes(candidates.begin(), candidates.end(), m_candidates.begin(), m_candidates.end());
     if (removed) {
         m_orders.clear();
     } else {
--- a/src/entrance/internal/workspacerates.cpp
+++ b/src/entrance/internal/workspacerates.cpp
@@ -95,9 +95,7 @@
     if (ask.owner == m_self) {
         const TokenGrant grant = m_ledger.take(name, ask.wanted, now);
         workspace.ask = ask;
-        settle(name,
-               {.askId = ask.id, .workspace = name, .granted = grant.granted, .dryFor = grant.dryFor},
-               now);
+        settle(name, {.askId = ask.id, .workspace = name, .granted = grant.granted, .dryFor = grant.dryFor}, now);
         return;
     }
     workspace.ask = ask;
--- a/src/entrance/rateledger.h
+++ b/src/entrance/rateledger.h
@@ -56,6 +56,7 @@
     void fill(Bucket &bucket, TimePoint now) const;
     [[nodiscard]] double beyond(const RateLimit &limit) const;
     [[nodiscard]] double capacity(const Bucket &bucket) const;
+    [[nodiscard]] double perSecond(const Bucket &bucket) const;
 
     RateTolerance m_tolerance;
     std::map<WorkspaceName, Bucket> m_buckets;
--- a/src/fleet/internal/failuredetector.cpp
+++ b/src/fleet/internal/failuredetector.cpp
@@ -6,8 +6,8 @@
 
 /// Reports in a row that must be missing; single datagrams get lost.
 constexpr int MissedReports = 4;
-/// Added for nodes of other zones: the time between two bundles, and one lost bundle.
-constexpr Duration BundleDelay = std::chrono::milliseconds(1200);
+/// Added for nodes of other zones, whose reports wait at two relays, and are missing while a new relay takes over.
+constexpr Duration BundleDelay = std::chrono::milliseconds(700);
 /// A node counts as in touch for less time than it may take itself to notice a cut.
 constexpr double InTouchShare = 0.75;
 
--- a/src/fleet/internal/nodedirectory.cpp
+++ b/src/fleet/internal/nodedirectory.cpp
@@ -12,6 +12,9 @@
 constexpr double RemoteAdvantage = 0.1;
 /// A report older than this says nothing about the load any more; reports come several times a second.
 constexpr Duration ReportLifetime = std::chrono::seconds(2);
+/// A node of another zone whose reports have been missing for so long gets no calls while others can take them: the
+/// zones may be cut off from each other, and a call that gets lost there cannot always be repeated.
+constexpr Duration RemoteReportLifetime = std::chrono::milliseconds(900);
 /// Weight of the newest outcome in the share of failures; about the last 10 calls count.
 constexpr double FailureWeight = 0.1;
 /// Load that a share of failures of 1 counts as. An instance that fails half its requests is used only when the
@@ -95,7 +98,10 @@
         if (known.entry.service != service || !known.entry.accepting || excluded.contains(name)) {
             continue;
         }
-        std::vector<Known *> &group = known.avoidUntil > now ? avoided : known.entry.zone == m_ownZone ? local : remote;
+        const bool ownZone = known.entry.zone == m_ownZone;
+        const bool unheard =
+            !ownZone && known.reportedAt != TimePoint{} && now - known.reportedAt > RemoteReportLifetime;
+        std::vector<Known *> &group = known.avoidUntil > now || unheard ? avoided : ownZone ? local : remote;
         group.push_back(&known);
     }
     Known *best = betterOfTwo(local, random, now);
--- a/src/fleet/internal/zonefeed.cpp
+++ b/src/fleet/internal/zonefeed.cpp
@@ -113,10 +113,7 @@
 }
 
 /// Keeps what an answer told, for the nodes that watch this one.
-void ZoneFeed::record(const std::string &table,
-                      std::uint64_t afterVersion,
-                      const TableAnswer &answer,
-                      Duration sent)
+void ZoneFeed::record(const std::string &table, std::uint64_t afterVersion, const TableAnswer &answer, Duration sent)
 {
     Copy &copy = m_copies[table];
     const bool gap = copy.version == 0 || afterVersion > copy.version || copy.rows.size() > KeptRows;
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -43,8 +43,8 @@
     void update(const NodeEntry &entry);
     void remove(const NodeName &node);
 
-    /// A report from a node. Reports of an earlier process or out of order are ignored. Returns whether it was newer than
-    /// the last one.
+    /// A report from a node. Reports of an earlier process or out of order are ignored. Returns whether it was newer
+    /// than the last one.
     bool recordReport(const NodeReport &report, TimePoint now);
 
     /// The node for the next attempt, or nullopt when none accepts. Prefers the own zone while it has room.
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -277,6 +277,25 @@
     CHECK(chooseMany(8)["far"] >= 5);
 }
 
+TEST(NodeDirectory, aZoneThatIsNotHeardGetsNothingWhileTheOwnHasAnInstance)
+{
+    // A zone is cut off while the own one is full; its last reports say that it has room.
+    directory.update(entry("own", "a"));
+    directory.update(entry("far", "b"));
+    report("own", 10);
+    report("far", 1);
+    NodeReport full;
+    full.node = NodeName("own");
+    full.startedAtMs = 5;
+    full.sequence = ++sequence;
+    full.running = 10;
+    directory.recordReport(full, Start + 1s);
+    for (int i = 0; i < 20; ++i) {
+        STRCMP_EQUAL("own", directory.choose(Parts, {}, random, Start + 1s)->node.value.c_str());
+    }
+    STRCMP_EQUAL("far", directory.choose(Parts, {NodeName("own")}, random, Start + 1s)->node.value.c_str());
+}
+
 TEST(NodeDirectory, givesNothingToNodesThatDoNotAccept)
 {
     directory.update(entry("own", "a", false));
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -310,8 +310,8 @@
     std::uint64_t requestId = 0;
     bool known = false; ///< False: the node cannot tell the changes since that version.
     std::uint64_t version = 0;
-    /// Time from the arrival of the watch to the moment at which the copy was last known to be the newest state; negative
-    /// when that was before.
+    /// Time from the arrival of the watch to the moment at which the copy was last known to be the newest state;
+    /// negative when that was before.
     Duration confirmedAfter{0};
     std::vector<VersionedRow> rows;
 };
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -233,8 +233,7 @@
         const Phase current = phase(*connection);
         const bool late = (current == Phase::Idle && age > m_limits.idleTimeout)
             || (current == Phase::Reading && age > m_limits.headTimeout + m_limits.idleTimeout)
-            || (current == Phase::Sending && age > SendTimeout)
-            || (current == Phase::Closing && age > LingerTimeout);
+            || (current == Phase::Sending && age > SendTimeout) || (current == Phase::Closing && age > LingerTimeout);
         if (late) {
             expired.push_back(connection);
         }
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -48,8 +48,8 @@
 
 struct PeerLinkSettings {
     Duration connectTimeout = std::chrono::seconds(1);
-    Duration probeInterval = std::chrono::milliseconds(700); ///< While calls are out and nothing is heard.
-    Duration silenceTimeout = std::chrono::milliseconds(2500); ///< Then the connection counts as dead.
+    Duration probeInterval = std::chrono::milliseconds(500); ///< While calls are out and nothing is heard.
+    Duration silenceTimeout = std::chrono::milliseconds(1800); ///< Then the connection counts as dead.
     std::size_t maxFrameBytes = std::size_t{66} << 20; ///< The largest body and its headers.
 };
 
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -4,13 +4,13 @@
 #include "entrance/entranceshedder.h"
 #include "entrance/workspacerates.h"
 #include "fleet/nodedirectory.h"
+#include "fleet/storefreshness.h"
 #include "metrics/imetrics.h"
 #include "net/httpserver.h"
 #include "net/peerlink.h"
 #include "proxy/decisionlog.h"
 #include "proxy/internal/ingressproxy.h"
 #include "proxy/proxysettings.h"
-#include "fleet/storefreshness.h"
 #include "routes/routetable.h"
 
 #include <optional>
@@ -107,10 +107,8 @@
     void enter(RequestId id);
     void reject(const Request &request, const Rejection &rejection);
     void rejectStored(RequestId id, const Rejection &rejection);
-    [[nodiscard]] Rejection rejectionOf(const Request &request,
-                                        int status,
-                                        RefusalKind kind,
-                                        Duration expectedWait = Duration{0});
+    [[nodiscard]] Rejection
+    rejectionOf(const Request &request, int status, RefusalKind kind, Duration expectedWait = Duration{0});
 
     void attempt(RequestId id);
     void onReply(RequestId id, PeerCallEnd end, CallReply reply);
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -14,8 +14,6 @@
 /// Reports that a node sends to its zone in one second, at most; in larger zones each node is told less often.
 constexpr double ReportsPerSecond = 120;
 constexpr Duration ShortestTick = std::chrono::milliseconds(250);
-/// Rounds between two bundles for other zones; bytes between zones are dear.
-constexpr std::uint64_t RoundsPerBundle = 2;
 /// Reports in one datagram, so that a bundle stays far below the longest datagram.
 constexpr std::size_t ReportsPerBundle = 8;
 /// Reports older than this, or than some rounds, no longer count for plans.
@@ -25,8 +23,8 @@
 constexpr double OfferedSeconds = 0.8;
 /// Silence after which the row of a node is removed. Longer than a restart, so that restarts cost no extra writes.
 constexpr Duration SilenceOfGoneNodes = std::chrono::seconds(12);
-/// The same for nodes of other zones, which their own relay removes unless the whole zone is gone. Longer than the usual
-/// cut of a zone, whose nodes are alive.
+/// The same for nodes of other zones, which their own relay removes unless the whole zone is gone. Longer than the
+/// usual cut of a zone, whose nodes are alive.
 constexpr Duration SilenceOfGoneZones = std::chrono::seconds(40);
 /// Change of an admitted share that is logged.
 constexpr double NotableChange = 0.1;
@@ -137,9 +135,7 @@
     m_parts.directory.recordReport(report, m_parts.clock.now());
     m_link->send(endpoints(m_detector.nodesOf(m_parts.settings.zone)), report);
     ++m_rounds;
-    if (m_rounds % RoundsPerBundle == 0) {
-        sendBundles();
-    }
+    sendBundles();
     planEntrance();
     assignRates();
     removeSilentNodes();
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -99,9 +99,8 @@
     void sendTo(const NodeName &node, const PeerDatagram &message);
     void watchAsks();
     [[nodiscard]] std::optional<NodeName> source() const override;
-    SentWatchId send(const NodeName &node,
-                     TableWatch watch,
-                     std::function<void(std::optional<TableChanges>)> completion) override;
+    SentWatchId
+    send(const NodeName &node, TableWatch watch, std::function<void(std::optional<TableChanges>)> completion) override;
     void cancel(SentWatchId watch) override;
     void answer(PeerWatchId watch, TableChanges changes) override;
 
@@ -234,9 +233,8 @@
     return m_control.joined() ? m_control.otherRelay() : std::nullopt;
 }
 
-SentWatchId TrafficNode::send(const NodeName &node,
-                              TableWatch watch,
-                              std::function<void(std::optional<TableChanges>)> completion)
+SentWatchId
+TrafficNode::send(const NodeName &node, TableWatch watch, std::function<void(std::optional<TableChanges>)> completion)
 {
     const NodeEntry *entry = m_directory.find(node);
     if (entry == nullptr) {
