Ask the store when a zone's source was not confirmed in the course of a watch

A cut took the store from two sources at 16.5 s; their zones went on watching them until the copies were 2.5 s old and took a withdrawn key at 18.72 s, 2.01 s after the acknowledgement.

Change: a source confirms its copy twice in the time of a watch; an answer without changes whose copy is older than 0.65 of that time makes the node ask the store at once, and pass the source over for 3 s. A change is known within about one second of the last confirmation whatever the source has lost.

The test of the old limit now waits out the pause; the new one holds the node to the end of the watch.

--- a/src/fleet/internal/zonefeed.cpp
+++ b/src/fleet/internal/zonefeed.cpp
@@ -11,11 +11,17 @@
 
 constexpr Log FeedLog("zonefeed");
 /// Waited for the source's answer beyond the time of the watch; then the store is asked.
-constexpr Duration SourcePatience = std::chrono::milliseconds(500);
-/// Age of the source's copy above which the store is asked. Below the grace of keys with the time of one more watch.
-constexpr Duration OldestCopy = std::chrono::milliseconds(2500);
-/// Part of a watch's time after which it is answered as soon as the copy is confirmed, so that the answer is fresh.
-constexpr double ConfirmShare = 0.5;
+constexpr Duration SourcePatience = std::chrono::milliseconds(300);
+/// A source watches the store for this part of the time for which it is watched itself, so that its copy is confirmed in
+/// the course of each watch unless it has lost the store.
+constexpr double StoreWatchShare = 0.5;
+/// Part of a watch's time after which it is answered as soon as the copy is confirmed.
+constexpr double ConfirmShare = 0.3;
+/// Part of a watch's time by which the copy may be older than an answer without changes. A copy that was confirmed after
+/// ConfirmShare is younger; the answer came then.
+constexpr double OldestCopyShare = 0.65;
+/// How long a source is passed over that has failed.
+constexpr Duration SourcePause = std::chrono::seconds(3);
 /// Changed rows that are remembered for each table.
 constexpr std::size_t KeptRows = 4096;
 
@@ -41,10 +47,12 @@
 
 void ZoneFeed::watch(const std::string &table, std::uint64_t afterVersion, Duration wait, TableCompletion completion)
 {
-    if (const auto source = m_watches.source()) {
+    const auto source = m_watches.source();
+    if (source && m_clock.elapsed() >= m_sourceAvoidedUntil) {
         watchSource(*source, table, afterVersion, wait, std::move(completion));
     } else {
-        watchStore(table, afterVersion, wait, std::move(completion));
+        const auto storeWait = std::chrono::duration_cast<Duration>(wait * StoreWatchShare);
+        watchStore(table, afterVersion, storeWait, std::move(completion));
     }
 }
 
@@ -76,12 +84,13 @@
     const auto fallBack = [this, table, afterVersion, wait, completion, source](const char *reason) {
         FeedLog.info("The zone's source of a table is passed over; the store is asked.",
                      {{"table", table}, {"source", source.value}, {"reason", reason}});
-        watchStore(table, afterVersion, wait, completion);
+        m_sourceAvoidedUntil = m_clock.elapsed() + SourcePause;
+        watch(table, afterVersion, wait, completion);
     };
     const SentWatchId id = m_watches.send(
         source,
         {.requestId = 0, .table = table, .afterVersion = afterVersion, .wait = wait},
-        [this, open, table, afterVersion, sent, completion, fallBack](const std::optional<TableChanges> &changes) {
+        [this, open, table, afterVersion, wait, sent, completion, fallBack](const std::optional<TableChanges> &changes) {
             if (!*open) {
                 return;
             }
@@ -91,7 +100,8 @@
                 return;
             }
             const Duration confirmedAt = sent + changes->confirmedAfter;
-            if (changes->rows.empty() && m_clock.elapsed() - confirmedAt > OldestCopy) {
+            const auto oldest = std::chrono::duration_cast<Duration>(wait * OldestCopyShare);
+            if (changes->rows.empty() && m_clock.elapsed() - confirmedAt > oldest) {
                 fallBack("the source has lost the store");
                 return;
             }
--- a/src/fleet/tests/zonefeed_tests.cpp
+++ b/src/fleet/tests/zonefeed_tests.cpp
@@ -155,15 +155,33 @@
     advance(1s);
     watches.sent[0].completion(known(3, -2s)); // Three seconds old.
     LONGS_EQUAL(1, store.calls.size());
+    advance(3s);
     watch(3);
     watches.sent[1].completion(TableChanges{});
     LONGS_EQUAL(2, store.calls.size());
+    advance(3s);
     watch(3);
     watches.sent[2].completion(std::nullopt);
     LONGS_EQUAL(3, store.calls.size());
     LONGS_EQUAL(0, answers.size());
 }
 
+TEST(ZoneFeed, aChangeIsKnownInTimeWhenTheSourceIsCutOffFromTheStore)
+{
+    // The source was confirmed last while the watch was new; the store is asked when the watch ends, not later.
+    watches.current = NodeName("s");
+    watch(3);
+    advance(1s);
+    watches.sent[0].completion(known(3, 290ms));
+    LONGS_EQUAL(1, store.calls.size());
+    // Meanwhile the source is passed over.
+    watch(3);
+    LONGS_EQUAL(2, store.calls.size());
+    advance(3s);
+    watch(3);
+    LONGS_EQUAL(2, store.calls.size());
+}
+
 TEST(ZoneFeed, aSourceThatDoesNotAnswerIsPassedOverAndItsLateAnswerIgnored)
 {
     watches.current = NodeName("s");
@@ -192,7 +210,7 @@
     LONGS_EQUAL(3, watches.answers[1].second.version);
 }
 
-TEST(ZoneFeed, theSourceConfirmsFreshlyAfterHalfTheWait)
+TEST(ZoneFeed, theSourceConfirmsFreshlyInTheCourseOfTheWatch)
 {
     follow();
     feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 1, .wait = 1s});
--- a/src/fleet/zonefeed.h
+++ b/src/fleet/zonefeed.h
@@ -79,6 +79,7 @@
     IZoneWatches &m_watches;
     std::map<std::string, Copy> m_copies;
     std::map<PeerWatchId, Parked> m_parked;
+    Duration m_sourceAvoidedUntil{0}; ///< On the clock that counts suspensions.
 };
 
 } // namespace vanillatack
