Refuse new requests of callers in the second half of the grace time

Change: requests are refused, not run, from 2.8 s on; callers have left by then (two readiness checks). The times of a shutdown stand in ShutdownPlan, with tests; slowRequestsOfTheFirstHalfHaveTheSecondHalfToEnd fails on the old share.

--- a/src/fleet/internal/zonefeed.cpp
+++ b/src/fleet/internal/zonefeed.cpp
@@ -12,13 +12,13 @@
 constexpr Log FeedLog("zonefeed");
 /// Waited for the source's answer beyond the time of the watch; then the store is asked.
 constexpr Duration SourcePatience = std::chrono::milliseconds(300);
-/// A source watches the store for this part of the time for which it is watched itself, so that its copy is confirmed in
-/// the course of each watch unless it has lost the store.
+/// A source watches the store for this part of the time for which it is watched itself, so that its copy is confirmed
+/// in the course of each watch unless it has lost the store.
 constexpr double StoreWatchShare = 0.5;
 /// Part of a watch's time after which it is answered as soon as the copy is confirmed.
 constexpr double ConfirmShare = 0.3;
-/// Part of a watch's time by which the copy may be older than an answer without changes. A copy that was confirmed after
-/// ConfirmShare is younger; the answer came then.
+/// Part of a watch's time by which the copy may be older than an answer without changes. A copy that was confirmed
+/// after ConfirmShare is younger; the answer came then.
 constexpr double OldestCopyShare = 0.65;
 /// How long a source is passed over that has failed.
 constexpr Duration SourcePause = std::chrono::seconds(3);
@@ -90,7 +90,8 @@
     const SentWatchId id = m_watches.send(
         source,
         {.requestId = 0, .table = table, .afterVersion = afterVersion, .wait = wait},
-        [this, open, table, afterVersion, wait, sent, completion, fallBack](const std::optional<TableChanges> &changes) {
+        [this, open, table, afterVersion, wait, sent, completion, fallBack](
+            const std::optional<TableChanges> &changes) {
             if (!*open) {
                 return;
             }
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "fleet/zonefeed.h"
 #include "proxy/internal/fleetcontrol.h"
+#include "proxy/internal/shutdownplan.h"
 
 #include <algorithm>
 
@@ -12,14 +13,6 @@
 
 namespace {
 
-/// Callers are sent elsewhere after two readiness checks that fail, which come each second.
-constexpr Duration CallersLeave = std::chrono::milliseconds(2600);
-/// Other nodes learn within this time that the node takes no more calls.
-constexpr Duration CallsLeave = std::chrono::milliseconds(800);
-/// Left of the grace time when the process ends in any case.
-constexpr Duration EndMargin = std::chrono::milliseconds(350);
-/// Part of the grace time after which new requests are refused, so that those that run can end.
-constexpr double TakeRequestsShare = 0.6;
 constexpr Duration ShutdownPoll = std::chrono::milliseconds(50);
 /// How often asks for tokens are checked for a missing answer.
 constexpr Duration AskPoll = std::chrono::milliseconds(25);
@@ -326,14 +319,14 @@
 void TrafficNode::pollShutdown()
 {
     const Duration since = m_clock.now() - m_stoppingSince;
-    if (since > CallsLeave) {
+    const ShutdownPlan plan(m_settings.shutdownGrace);
+    if (!plan.takesCalls(since)) {
         m_ingress.startDraining();
     }
-    if (since > m_settings.shutdownGrace * TakeRequestsShare) {
+    if (!plan.takesRequests(since)) {
         m_egress.refuseNew();
     }
-    const bool finished = since > CallersLeave && m_egress.inProgress() == 0 && m_ingress.inProgress() == 0;
-    if (finished || since > m_settings.shutdownGrace - EndMargin) {
+    if (plan.ends(since, m_egress.inProgress() == 0 && m_ingress.inProgress() == 0)) {
         m_decisions.record("node.stop", {{"requests", std::to_string(m_egress.inProgress())}});
         m_stopped();
         return;
