--- a/src/entrance/internal/workspacerates.cpp
+++ b/src/entrance/internal/workspacerates.cpp
@@ -73,6 +73,18 @@
     }
 }
 
+std::map<WorkspaceName, double> WorkspaceRates::pledged() const
+{
+    std::map<WorkspaceName, double> parts;
+    for (const auto &[name, workspace] : m_workspaces) {
+        const double part = workspace.limit.ratePerSecond > 0 ? m_ledger.pledged(name) : 0;
+        if (part > 0) {
+            parts[name] = part;
+        }
+    }
+    return parts;
+}
+
 NodeName WorkspaceRates::owner(const WorkspaceName &workspace, TimePoint now) const
 {
     for (const NodeName &node : m_ownership.order(workspace)) {
--- a/src/entrance/workspacerates.h
+++ b/src/entrance/workspacerates.h
@@ -61,6 +61,10 @@
     void checkAsks(TimePoint now);
     [[nodiscard]] bool hasAsks() const;
 
+    /// Part of each limited workspace's rate that this node deals out, 0 to 1; without those of which it deals out
+    /// none.
+    [[nodiscard]] std::map<WorkspaceName, double> pledged() const;
+
     /// The node that deals out the workspace's rate, as this node sees it. For logs.
     [[nodiscard]] NodeName owner(const WorkspaceName &workspace, TimePoint now) const;
 
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -26,7 +26,7 @@
 /// The same for nodes of other zones, which their own relay removes unless the whole zone is gone. Longer than the
 /// usual cut of a zone, whose nodes are alive.
 constexpr Duration SilenceOfGoneZones = std::chrono::seconds(40);
-/// Change of an admitted share that is logged.
+/// Change of an admitted share, or of a pledged part of a rate, that is logged.
 constexpr double NotableChange = 0.1;
 
 } // namespace
@@ -337,6 +337,31 @@
         }
     }
     m_parts.rates.update(registered, candidates, std::move(views), now);
+    logPledges();
+}
+
+void FleetControl::logPledges()
+{
+    std::map<WorkspaceName, double> pledged = m_parts.rates.pledged();
+    for (const auto &[workspace, part] : m_loggedPledges) {
+        pledged.try_emplace(workspace, 0.0);
+    }
+    for (const auto &[workspace, part] : pledged) {
+        double &logged = m_loggedPledges[workspace];
+        if (std::abs(part - logged) < NotableChange && (part == 0) == (logged == 0)) {
+            continue;
+        }
+        m_parts.decisions.record("rates.pledged",
+                                 {{"workspace", workspace.value},
+                                  {"part", absl::StrFormat("%.2f", part)},
+                                  {"before", absl::StrFormat("%.2f", logged)},
+                                  {"nodes", std::to_string(m_parts.directory.nodes().size())},
+                                  {"silent", std::to_string(m_detector.silent(m_parts.clock.now()).size())}});
+        logged = part;
+    }
+    std::erase_if(m_loggedPledges, [](const auto &entry) {
+        return entry.second == 0;
+    });
 }
 
 /// The relay of the zone removes the rows of silent nodes, so that not all nodes do it at once.
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -48,6 +48,7 @@
     [[nodiscard]] std::vector<Endpoint> endpoints(const std::vector<NodeName> &nodes) const;
     void planEntrance();
     void assignRates();
+    void logPledges();
     void removeSilentNodes();
 
     NodeParts m_parts;
@@ -62,6 +63,7 @@
     std::vector<ServiceName> m_scarce; ///< Of the last plan.
     std::map<RouteName, double> m_offered; ///< Requests per second, exponentially weighted.
     FailureDetector m_detector;
+    std::map<WorkspaceName, double> m_loggedPledges; ///< Parts of rates that this node deals out.
     std::uint64_t m_rounds = 0;
     std::map<NodeName, TimePoint> m_removalTriedAt; ///< Of rows of silent nodes.
 };
