--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -383,11 +383,11 @@
     }
     const ConnectionPointer connection = m_connections.at(entry->second);
     m_exchanges.erase(entry);
-    for (Exchange &item : connection->exchanges) {
-        if (item.id == exchange) {
-            item.response = std::move(response);
-        }
-    }
+    const auto item =
+        std::find_if(connection->exchanges.begin(), connection->exchanges.end(), [exchange](const Exchange &candidate) {
+            return candidate.id == exchange;
+        });
+    item->response = std::move(response);
     sendNext(connection);
 }
 
