Give the refusal of a silent rate owner its text and status in the product's own interface

The daemon's table of problem texts has an entry for each kind of refusal; without one its tests ended with an exception. The test of names counts up to the newest kind.

--- a/src/daemon/internal/problem.cpp
+++ b/src/daemon/internal/problem.cpp
@@ -16,7 +16,7 @@
     const char *remedy;
 };
 
-constexpr std::array<ProblemText, 23> ProblemTexts = {{
+constexpr std::array<ProblemText, 24> ProblemTexts = {{
     {RefusalKind::MalformedRequest, 400, "The request is malformed.", "Correct the request and send it again."},
     {RefusalKind::UnknownRoute, 404, "No route matches the method and path.", "Check the method and the path."},
     {RefusalKind::MissingKey, 401, "The route needs a key.", "Send Authorization: Bearer KEY."},
@@ -61,6 +61,10 @@
     {RefusalKind::Cancelled, 499, "The caller went away.", "Send again."},
     {RefusalKind::HeadersTooLarge, 431, "The request head is too large.", "Send fewer or shorter headers."},
     {RefusalKind::BodyTooLarge, 413, "The request body is too large.", "Send a smaller body."},
+    {RefusalKind::RateOwnerSilent,
+     503,
+     "The node that deals out the workspace's rate does not answer.",
+     "Send again after Retry-After."},
 }};
 
 const ProblemText &problemText(RefusalKind kind)
--- a/src/daemon/tests/settings_tests.cpp
+++ b/src/daemon/tests/settings_tests.cpp
@@ -134,7 +134,7 @@
         {RefusalKind::OutcomeUnknown, 409},     {RefusalKind::IdempotencyMismatch, 422},
         {RefusalKind::UpstreamFailed, 502},     {RefusalKind::BadUpstreamReply, 502},
         {RefusalKind::Cancelled, 499},          {RefusalKind::HeadersTooLarge, 431},
-        {RefusalKind::BodyTooLarge, 413},
+        {RefusalKind::BodyTooLarge, 413},       {RefusalKind::RateOwnerSilent, 503},
     };
     std::set<std::string> titles;
     for (const auto &entry : RefusalKindNames.entries()) {
--- a/src/model/tests/headers_tests.cpp
+++ b/src/model/tests/headers_tests.cpp
@@ -27,5 +27,5 @@
     for (const auto &entry : RefusalKindNames.entries()) {
         CHECK(RefusalKindNames.value(entry.name) == entry.value);
     }
-    LONGS_EQUAL(static_cast<int>(RefusalKind::BodyTooLarge) + 1, RefusalKindNames.entries().size());
+    LONGS_EQUAL(static_cast<int>(RefusalKind::RateOwnerSilent) + 1, RefusalKindNames.entries().size());
 }
