--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -212,7 +212,7 @@
 void FleetControl::sendBundles()
 {
     const TimePoint now = m_parts.clock.now();
-    if (m_detector.relay(m_parts.settings.zone, now) != m_parts.settings.node) {
+    if (otherRelay()) {
         return;
     }
     std::vector<Endpoint> relays;
@@ -368,7 +368,7 @@
 void FleetControl::removeSilentNodes()
 {
     const TimePoint now = m_parts.clock.now();
-    if (m_detector.relay(m_parts.settings.zone, now) != m_parts.settings.node) {
+    if (otherRelay()) {
         return;
     }
     for (const NodeEntry &node : m_parts.directory.nodes()) {
