--- a/src/fleet/internal/tablemirror.cpp
+++ b/src/fleet/internal/tablemirror.cpp
@@ -1,11 +1,15 @@
 #include "fleet/tablemirror.h"
 
+#include "base/log.h"
+
 #include <algorithm>
 
 namespace vanillatack {
 
 namespace {
 
+constexpr Log MirrorLog("tablemirror");
+
 /// Delay after the first failed call. It doubles with each further failure, and up to half of it is random.
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds(120);
 /// Longest delay before a retry, and so before a recovered store is noticed.
@@ -92,6 +96,8 @@
 void TableMirror::onWatched(TableAnswer answer)
 {
     if (answer.outcome == TableOutcome::HistoryGone) {
+        MirrorLog.info("The store no longer has the changes of a table since the known version; reading it again.",
+                       {{"table", m_settings.table}, {"version", std::to_string(m_version)}});
         start();
         return;
     }
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -59,6 +59,9 @@
         return m_freshness;
     }
 
+    /// Time in milliseconds since the configuration was last confirmed as the newest, or "never".
+    [[nodiscard]] std::string configAgeText() const;
+
     void onRequest(ExchangeId exchange, HttpRequest request, const std::string &peerAddress) override;
     void onExchangeAbandoned(ExchangeId exchange) override;
 
@@ -122,7 +125,6 @@
     void fail(RequestId id, int status, RefusalKind kind, Duration expectedWait);
     void cancelAttempt(Request &request);
     void removeRequest(RequestId id);
-    [[nodiscard]] std::string configAgeText() const;
 
     NodeDependencies m_dependencies;
     IHttpServer *m_server = nullptr;
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -160,6 +160,7 @@
     m_decisions.record("config.applied",
                        {{"config", std::to_string(config.version)},
                         {"before", std::to_string(m_egress.routeTable().config().version)},
+                        {"config_age_ms", m_egress.configAgeText()},
                         {"hosts", std::to_string(config.hosts.size())},
                         {"workspaces", std::to_string(config.workspaces.size())}});
     m_egress.setRouteTable(RouteTable(std::move(config)));
