Follow the configuration through any node that has it while the store refuses this one

Callers saw requests refused as an older version says (404, 401) after a change had been confirmed (CONFIG).

Cause: a node learned of changes from the relay of its zone or from the store, and a relay from the store only. A relay that the store refused, and a refused node whose relay was refused too, kept the old version for as long as the refusal lasted, although other nodes of the zone had the new one: a single point of failure in the propagation of state.

Change: ZoneFeed asks its sources in turn: relay, store, up to three nodes of the zone, the relays of the other zones. A call that the store has not answered 0.3 s after its time stays open while the next source is asked. Only a node whose last answer came from the store lets others wait for changes, so no two nodes without the store wait for each other; a relay that loses the store ends the watches of the others at once.

--- a/src/fleet/failuredetector.h
+++ b/src/fleet/failuredetector.h
@@ -37,6 +37,9 @@
     /// The node that forwards report bundles between the zone and the others: the first responsive node by name.
     [[nodiscard]] std::optional<NodeName> relay(const ZoneName &zone, TimePoint now) const;
 
+    /// Nodes of the zone, except this node, from which reports are received.
+    [[nodiscard]] std::vector<NodeName> responsiveNodes(const ZoneName &zone, TimePoint now) const;
+
     /// Time since the last report of the node; 0 for nodes that are not registered.
     [[nodiscard]] Duration timeSinceLastReport(const NodeName &node, TimePoint now) const;
 
--- a/src/fleet/internal/failuredetector.cpp
+++ b/src/fleet/internal/failuredetector.cpp
@@ -84,6 +84,17 @@
     return first;
 }
 
+std::vector<NodeName> FailureDetector::responsiveNodes(const ZoneName &zone, TimePoint now) const
+{
+    std::vector<NodeName> nodes;
+    for (const auto &[node, state] : m_nodes) {
+        if (state.zone == zone && now - state.lastReportAt <= receiveTimeout(state)) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
 Duration FailureDetector::timeSinceLastReport(const NodeName &node, TimePoint now) const
 {
     const auto entry = m_nodes.find(node);
--- a/src/fleet/internal/zonefeed.cpp
+++ b/src/fleet/internal/zonefeed.cpp
@@ -10,19 +10,22 @@
 namespace {
 
 constexpr Log FeedLog("zonefeed");
-/// Time after the end of a watch for which the relay's answer is awaited before the node watches the store.
-constexpr Duration RelayAnswerMargin = std::chrono::milliseconds(300);
+/// Time after the end of a watch for which an answer is awaited before another source is asked as well.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(300);
 /// A direct watch of the store lasts this fraction of the requested time, so that a relay's copy is confirmed at least
 /// once during every watch it serves, unless it cannot reach the store.
 constexpr double StoreWatchFraction = 0.5;
 /// Fraction of a watch's duration after which the relay answers it as soon as the copy is confirmed.
 constexpr double ConfirmFraction = 0.3;
-/// Greatest accepted age of the relay's copy in an answer without changes, as a fraction of the watch's duration. An
-/// older copy means that the relay cannot reach the store: from ConfirmFraction on, it answers at the moment at which
-/// its copy is confirmed.
+/// Greatest accepted age of a node's copy in an answer without changes, as a fraction of the watch's duration. An older
+/// copy means that the node cannot reach the store: from ConfirmFraction on, it answers at the moment at which its copy
+/// is confirmed.
 constexpr double MaxCopyAgeFraction = 0.65;
-/// Time for which a relay that has failed is not used.
-constexpr Duration RelayAvoidanceTime = std::chrono::seconds(3);
+/// Time for which a source that has failed is not asked.
+constexpr Duration AvoidanceTime = std::chrono::seconds(3);
+/// Delay before the alternative sources are asked again while a call to the store is still open.
+constexpr Duration AlternativesRetryDelay = std::chrono::milliseconds(150);
+const NodeName Store; ///< Name of the store as a source; no node has it.
 /// Number of changed rows above which the recorded changes of a table are discarded and recording starts again.
 constexpr std::size_t MaxRetainedRows = 4096;
 
@@ -48,82 +51,199 @@
 
 void ZoneFeed::watch(const std::string &table, std::uint64_t afterVersion, Duration wait, TableCompletion completion)
 {
-    const auto relay = m_watches.relay();
-    if (relay && m_clock.elapsed() >= m_relayAvoidedUntil) {
-        watchRelay(*relay, table, afterVersion, wait, std::move(completion));
+    const OutgoingWatchId id{++m_lastOutgoingId};
+    OutgoingWatch &watch = m_outgoing[id];
+    watch.table = table;
+    watch.afterVersion = afterVersion;
+    watch.wait = wait;
+    watch.completion = std::move(completion);
+    askNextSource(id);
+}
+
+/// Asks the next source. When all have been asked, the watch ends with the outcome of the store; while the call to the
+/// store is still open, the others are asked again.
+void ZoneFeed::askNextSource(OutgoingWatchId id)
+{
+    OutgoingWatch &watch = m_outgoing.at(id);
+    const auto source = nextSource(watch);
+    if (!source) {
+        if (watch.open.empty()) {
+            TableAnswer failure;
+            failure.outcome = watch.storeOutcome;
+            finish(id, failure);
+            return;
+        }
+        m_callAfter(AlternativesRetryDelay, [this, id] {
+            const auto entry = m_outgoing.find(id);
+            if (entry != m_outgoing.end()) {
+                entry->second.tried = entry->second.open;
+                entry->second.alternatives.reset();
+                askNextSource(id);
+            }
+        });
+        return;
+    }
+    watch.tried.insert(*source);
+    watch.open.insert(*source);
+    if (*source == Store) {
+        askStore(id);
     } else {
-        const auto storeWait = std::chrono::duration_cast<Duration>(wait * StoreWatchFraction);
-        watchStore(table, afterVersion, storeWait, std::move(completion));
+        askNode(id, *source);
+    }
+}
+
+std::optional<NodeName> ZoneFeed::nextSource(OutgoingWatch &watch)
+{
+    const auto isUsable = [&](const NodeName &source) {
+        return !watch.tried.contains(source) && !isAvoided(source);
+    };
+    const auto relay = m_watches.relay();
+    if (relay && isUsable(*relay)) {
+        return relay;
+    }
+    if (isUsable(Store)) {
+        return Store;
     }
+    if (!watch.alternatives) {
+        watch.alternatives = m_watches.alternativeSources();
+    }
+    for (const NodeName &node : *watch.alternatives) {
+        if (isUsable(node)) {
+            return node;
+        }
+    }
+    // Every watch asks the store, so that the outcome it ends with is that of a call.
+    return watch.tried.contains(Store) ? std::nullopt : std::optional(Store);
+}
+
+bool ZoneFeed::isAvoided(const NodeName &source) const
+{
+    const auto entry = m_avoidedUntil.find(source);
+    return entry != m_avoidedUntil.end() && m_clock.elapsed() < entry->second;
 }
 
-void ZoneFeed::watchStore(const std::string &table,
-                          std::uint64_t afterVersion,
-                          Duration wait,
-                          TableCompletion completion)
+void ZoneFeed::askStore(OutgoingWatchId id)
 {
+    const OutgoingWatch &watch = m_outgoing.at(id);
+    const auto wait = std::chrono::duration_cast<Duration>(watch.wait * StoreWatchFraction);
     const Duration sent = m_clock.elapsed();
-    m_store.watch(table,
-                  afterVersion,
+    m_store.watch(watch.table,
+                  watch.afterVersion,
                   wait,
-                  [this, table, afterVersion, sent, completion = std::move(completion)](const TableAnswer &answer) {
+                  [this, id, table = watch.table, afterVersion = watch.afterVersion, sent](const TableAnswer &answer) {
                       if (answer.outcome == TableOutcome::Done) {
+                          m_avoidedUntil.erase(Store);
                           record(table, afterVersion, answer, sent);
                       }
-                      completion(answer);
+                      onStoreAnswer(id, answer);
                   });
+    m_callAfter(wait + AnswerMargin, [this, id] {
+        const auto entry = m_outgoing.find(id);
+        if (entry != m_outgoing.end() && entry->second.open.contains(Store)) {
+            // The call stays open: a slow store may still answer it.
+            avoid(entry->second.table, Store, "the source does not answer");
+            askNextSource(id);
+        }
+    });
+}
+
+void ZoneFeed::onStoreAnswer(OutgoingWatchId id, const TableAnswer &answer)
+{
+    const auto entry = m_outgoing.find(id);
+    if (entry == m_outgoing.end()) {
+        return;
+    }
+    if (answer.outcome == TableOutcome::Done || answer.outcome == TableOutcome::HistoryGone) {
+        finish(id, answer);
+        return;
+    }
+    entry->second.storeOutcome = answer.outcome;
+    onSourceFailed(id, Store, "the call has failed", false);
 }
 
-void ZoneFeed::watchRelay(const NodeName &relay,
-                          const std::string &table,
-                          std::uint64_t afterVersion,
-                          Duration wait,
-                          TableCompletion completion)
+void ZoneFeed::askNode(OutgoingWatchId id, const NodeName &node)
 {
+    const OutgoingWatch &watch = m_outgoing.at(id);
+    const Duration wait = watch.wait;
     const Duration sent = m_clock.elapsed();
-    const auto open = std::make_shared<bool>(true);
-    const auto fallBack = [this, table, afterVersion, wait, completion, relay](const char *reason) {
-        FeedLog.info("The zone relay cannot serve the watch of a table; watching the store directly.",
-                     {{"table", table}, {"source", relay.value}, {"reason", reason}});
-        m_relayAvoidedUntil = m_clock.elapsed() + RelayAvoidanceTime;
-        watch(table, afterVersion, wait, completion);
-    };
-    const SentWatchId id = m_watches.sendWatch(
-        relay,
-        {.requestId = 0, .table = table, .afterVersion = afterVersion, .wait = wait},
-        [this, open, table, afterVersion, wait, sent, completion, fallBack](
-            const std::optional<TableChanges> &changes) {
-            if (!*open) {
-                return;
-            }
-            *open = false;
-            if (!changes || !changes->known) {
-                fallBack(changes ? "the source cannot tell the changes" : "the source cannot be reached");
-                return;
-            }
-            const Duration confirmedAt = sent + changes->confirmedAfter;
-            const auto maxAge = std::chrono::duration_cast<Duration>(wait * MaxCopyAgeFraction);
-            if (changes->rows.empty() && m_clock.elapsed() - confirmedAt > maxAge) {
-                fallBack("the source has lost the store");
-                return;
-            }
-            TableAnswer answer;
-            answer.outcome = TableOutcome::Done;
-            answer.rows = changes->rows;
-            answer.version = std::max(changes->version, afterVersion);
-            answer.confirmedAt = confirmedAt;
-            record(table, afterVersion, answer, sent);
-            completion(answer);
-        });
-    m_callAfter(wait + RelayAnswerMargin, [this, open, id, fallBack] {
-        if (*open) {
-            *open = false;
-            m_watches.cancelWatch(id);
-            fallBack("the source does not answer");
+    const SentWatchId sentWatch =
+        m_watches.sendWatch(node,
+                            {.requestId = 0, .table = watch.table, .afterVersion = watch.afterVersion, .wait = wait},
+                            [this, id, node, sent](const std::optional<TableChanges> &changes) {
+                                onNodeAnswer(id, node, sent, changes);
+                            });
+    m_callAfter(wait + AnswerMargin, [this, id, node, sentWatch] {
+        const auto entry = m_outgoing.find(id);
+        if (entry != m_outgoing.end() && entry->second.open.contains(node)) {
+            m_watches.cancelWatch(sentWatch);
+            onSourceFailed(id, node, "the source does not answer", false);
         }
     });
 }
 
+void ZoneFeed::onNodeAnswer(OutgoingWatchId id,
+                            const NodeName &node,
+                            Duration sent,
+                            const std::optional<TableChanges> &changes)
+{
+    const auto entry = m_outgoing.find(id);
+    if (entry == m_outgoing.end() || !entry->second.open.contains(node)) {
+        return;
+    }
+    const OutgoingWatch &watch = entry->second;
+    if (!changes || !changes->known) {
+        onSourceFailed(id,
+                       node,
+                       changes ? "the source cannot tell the changes" : "the source cannot be reached",
+                       changes.has_value());
+        return;
+    }
+    const Duration confirmedAt = sent + changes->confirmedAfter;
+    const auto maxAge = std::chrono::duration_cast<Duration>(watch.wait * MaxCopyAgeFraction);
+    if (changes->rows.empty() && m_clock.elapsed() - confirmedAt > maxAge) {
+        onSourceFailed(id, node, "the source has lost the store", true);
+        return;
+    }
+    TableAnswer answer;
+    answer.outcome = TableOutcome::Done;
+    answer.rows = changes->rows;
+    answer.version = std::max(changes->version, watch.afterVersion);
+    answer.confirmedAt = confirmedAt;
+    record(watch.table, watch.afterVersion, answer, sent);
+    finish(id, answer);
+}
+
+void ZoneFeed::avoid(const std::string &table, const NodeName &source, const char *reason)
+{
+    m_avoidedUntil[source] = m_clock.elapsed() + AvoidanceTime;
+    FeedLog.info("A source cannot serve the watch of a table; asking the next one.",
+                 {{"table", table}, {"source", source == Store ? "store" : source.value}, {"reason", reason}});
+    if (source == Store) {
+        // The nodes that watch this one must find another source.
+        m_recentChanges[table].direct = false;
+        answerPending(table);
+    }
+}
+
+/// Asks the next source after one has failed. An alternative source that has answered is asked again by the next watch:
+/// it may have reached the store by then.
+void ZoneFeed::onSourceFailed(OutgoingWatchId id, const NodeName &source, const char *reason, bool responsive)
+{
+    OutgoingWatch &watch = m_outgoing.at(id);
+    watch.open.erase(source);
+    if (!responsive || source == m_watches.relay()) {
+        avoid(watch.table, source, reason);
+    }
+    askNextSource(id);
+}
+
+/// Ends a watch. The calls that are still open are not cancelled; their answers only update the recorded changes.
+void ZoneFeed::finish(OutgoingWatchId id, const TableAnswer &answer)
+{
+    const auto watch = m_outgoing.extract(id);
+    watch.mapped().completion(answer);
+}
+
 /// Records the changes of an answer, for the nodes that watch this one.
 void ZoneFeed::record(const std::string &table, std::uint64_t afterVersion, const TableAnswer &answer, Duration sent)
 {
@@ -141,6 +261,7 @@
         }
     }
     recent.version = std::max(recent.version, answer.version);
+    recent.direct = !answer.confirmedAt.has_value();
     recent.freshness.confirm({.storeClock = answer.storeClock,
                               .sent = sent,
                               .received = m_clock.elapsed(),
@@ -183,7 +304,6 @@
     if (!age) {
         return changes;
     }
-    changes.known = true;
     changes.version = recent.version;
     changes.confirmedAfter = now - *age - pending.receivedAt;
     for (const auto &[key, row] : recent.rows) {
@@ -191,6 +311,7 @@
             changes.rows.push_back(row);
         }
     }
+    changes.known = recent.direct || !changes.rows.empty();
     return changes;
 }
 
--- a/src/fleet/tests/failuredetector_tests.cpp
+++ b/src/fleet/tests/failuredetector_tests.cpp
@@ -55,6 +55,16 @@
     CHECK(!detector.relay(OtherZone, Start + 3s).has_value());
 }
 
+TEST(FailureDetector, onlyOtherNodesOfTheZoneWithReportsAreResponsive)
+{
+    const NodeName d("d");
+    detector.add(d, OwnZone, Start);
+    CHECK(detector.responsiveNodes(OwnZone, Start) == (std::vector<NodeName>{A, d}));
+    detector.recordReport(d, Start + 500ms);
+    CHECK(detector.responsiveNodes(OwnZone, Start + 1200ms) == std::vector<NodeName>{d});
+    CHECK(detector.responsiveNodes(OtherZone, Start) == std::vector<NodeName>{C});
+}
+
 TEST(FailureDetector, removedNodesAreNoLongerTracked)
 {
     detector.remove(A);
--- a/src/fleet/zonefeed.h
+++ b/src/fleet/zonefeed.h
@@ -5,6 +5,8 @@
 #include "model/messages.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace vanillatack {
@@ -24,6 +26,10 @@
     /// is responsive.
     [[nodiscard]] virtual std::optional<NodeName> relay() const = 0;
 
+    /// A few other nodes to ask when neither the relay nor the store serves a watch, in this order: nodes of the zone,
+    /// then relays of other zones.
+    [[nodiscard]] virtual std::vector<NodeName> alternativeSources() = 0;
+
     /// Sends a watch request. The completion is called once unless the watch is cancelled, with nullopt when the node
     /// is unreachable.
     virtual SentWatchId
@@ -34,9 +40,9 @@
 };
 
 /// Shares watches of the store's tables within a zone: the zone relay watches the store and the other nodes watch the
-/// relay, so that the number of calls to the store does not grow with the zone, and a node that the store refuses still
-/// receives changes. A node whose relay is unreachable or has an outdated copy watches the store directly. Reads and
-/// writes always go to the store.
+/// relay, so that the number of calls to the store does not grow with the zone. A node whose relay is unreachable or
+/// has an outdated copy watches the store directly, and a node that the store does not serve either watches other
+/// nodes, so that it receives changes as long as any of them does. Reads and writes always go to the store.
 class ZoneFeed final : public ITableStore
 {
 public:
@@ -59,18 +65,39 @@
         std::uint64_t completeSince = 0; ///< Version after which rows contains every change.
         std::uint64_t version = 0; ///< Newest version received; 0 before the first answer.
         StoreFreshness freshness;
+        /// Whether the last answer came from the store itself. Only then are other nodes' watches held until there are
+        /// changes, so that nodes without the store never wait for each other.
+        bool direct = false;
     };
     struct PendingWatch {
         TableWatch watch;
         Duration receivedAt{0};
     };
 
-    void watchStore(const std::string &table, std::uint64_t afterVersion, Duration wait, TableCompletion completion);
-    void watchRelay(const NodeName &relay,
-                    const std::string &table,
-                    std::uint64_t afterVersion,
-                    Duration wait,
-                    TableCompletion completion);
+    /// A watch of this node that has not been answered yet.
+    struct OutgoingWatch {
+        std::string table;
+        std::uint64_t afterVersion = 0;
+        Duration wait{0};
+        TableCompletion completion;
+        std::set<NodeName> tried; ///< Sources that were asked; an empty name is the store.
+        std::set<NodeName> open; ///< Sources that were asked and have not answered.
+        std::optional<std::vector<NodeName>> alternatives; ///< Set when they are first needed.
+        TableOutcome storeOutcome = TableOutcome::Unknown; ///< Outcome of the failed call to the store.
+    };
+    using OutgoingWatchId = NumericId<struct OutgoingWatchTag>;
+
+    void askNextSource(OutgoingWatchId id);
+    [[nodiscard]] std::optional<NodeName> nextSource(OutgoingWatch &watch);
+    [[nodiscard]] bool isAvoided(const NodeName &source) const;
+    void askStore(OutgoingWatchId id);
+    void onStoreAnswer(OutgoingWatchId id, const TableAnswer &answer);
+    void askNode(OutgoingWatchId id, const NodeName &node);
+    void
+    onNodeAnswer(OutgoingWatchId id, const NodeName &node, Duration sent, const std::optional<TableChanges> &changes);
+    void avoid(const std::string &table, const NodeName &source, const char *reason);
+    void onSourceFailed(OutgoingWatchId id, const NodeName &source, const char *reason, bool responsive);
+    void finish(OutgoingWatchId id, const TableAnswer &answer);
     void record(const std::string &table, std::uint64_t afterVersion, const TableAnswer &answer, Duration sent);
     [[nodiscard]] TableChanges changesFor(const PendingWatch &pending) const;
     void answerPending(const std::string &table);
@@ -82,7 +109,11 @@
     IZoneWatches &m_watches;
     std::map<std::string, RecentChanges> m_recentChanges;
     std::map<PeerWatchId, PendingWatch> m_pending;
-    Duration m_relayAvoidedUntil{0}; ///< Time on the clock that advances during suspension.
+    std::uint64_t m_lastOutgoingId = 0;
+    std::map<OutgoingWatchId, OutgoingWatch> m_outgoing;
+    /// Sources that have failed and the times until which they are not asked, on the clock that advances during
+    /// suspension. An empty name is the store.
+    std::map<NodeName, Duration> m_avoidedUntil;
 };
 
 } // namespace vanillatack
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -319,7 +319,8 @@
 /// Reply to a TableWatch.
 struct TableChanges {
     std::uint64_t requestId = 0;
-    bool known = false; ///< False if the sender does not have the changes since afterVersion.
+    /// False if the sender does not have the changes since afterVersion, or has none and does not watch the store.
+    bool known = false;
     std::uint64_t version = 0;
     /// Time from the arrival of the watch until the sender's copy was last confirmed as current; negative if that was
     /// before the arrival.
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -30,6 +30,9 @@
 /// earlier unless the whole zone has failed. Longer than a usual network partition, during which the nodes of the other
 /// zone are alive.
 constexpr Duration OtherZoneRemovalTimeout = std::chrono::seconds(40);
+/// Nodes of the own zone that are asked for the changes of a table when neither the relay nor the store serves it.
+/// Limited, so that an outage of the store does not make all nodes of a large zone ask each other.
+constexpr std::size_t MaxOwnZoneSources = 3;
 /// Smallest change of an admitted share, or of a pledged share of a rate, that is logged.
 constexpr double MinLoggedChange = 0.1;
 
@@ -251,6 +254,25 @@
     return relay == m_dependencies.settings.node ? std::nullopt : relay;
 }
 
+std::vector<NodeName> FleetControl::alternativeSources() const
+{
+    const TimePoint now = m_dependencies.clock.now();
+    std::vector<NodeName> candidates = m_detector.responsiveNodes(m_dependencies.settings.zone, now);
+    std::vector<NodeName> sources;
+    while (!candidates.empty() && sources.size() < MaxOwnZoneSources) {
+        const auto chosen =
+            candidates.begin() + static_cast<std::ptrdiff_t>(m_dependencies.random.below(candidates.size()));
+        sources.push_back(std::move(*chosen));
+        candidates.erase(chosen);
+    }
+    for (const ZoneName &zone : m_detector.otherZones()) {
+        if (auto relay = m_detector.relay(zone, now)) {
+            sources.push_back(std::move(*relay));
+        }
+    }
+    return sources;
+}
+
 std::vector<Endpoint> FleetControl::endpoints(const std::vector<NodeName> &nodes) const
 {
     std::vector<Endpoint> result;
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -31,6 +31,9 @@
     /// The zone relay, if it is another node; nullopt if it is this node or none is known.
     [[nodiscard]] std::optional<NodeName> relayUnlessSelf() const;
 
+    /// A few random responsive nodes of the own zone, then the relay of each other zone; see IZoneWatches.
+    [[nodiscard]] std::vector<NodeName> alternativeSources() const;
+
     /// Whether the registry has been read; the own row may not be written yet.
     [[nodiscard]] bool registryLoaded() const
     {
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -92,6 +92,7 @@
     void sendTo(const NodeName &node, const PeerDatagram &message);
     void scheduleAskCheck();
     [[nodiscard]] std::optional<NodeName> relay() const override;
+    [[nodiscard]] std::vector<NodeName> alternativeSources() override;
     SentWatchId sendWatch(const NodeName &node,
                           TableWatch watch,
                           std::function<void(std::optional<TableChanges>)> completion) override;
@@ -228,6 +229,11 @@
     return m_control.registryLoaded() ? m_control.relayUnlessSelf() : std::nullopt;
 }
 
+std::vector<NodeName> TrafficNode::alternativeSources()
+{
+    return m_control.registryLoaded() ? m_control.alternativeSources() : std::vector<NodeName>();
+}
+
 SentWatchId TrafficNode::sendWatch(const NodeName &node,
                                    TableWatch watch,
                                    std::function<void(std::optional<TableChanges>)> completion)
