End the watches that a relay cannot serve after it has read a table again

Change: ZoneFeed takes a complete read as the new start of its record and ends the watches from before it at once. The read also teaches it the offset of the store's clock, without which a copy looked up to half a second older than it was.

Evidence: ZoneFeed.aRelayThatReadsTheTableAgainEndsTheWatchesThatItCannotServe failed before.

--- a/src/fleet/internal/zonefeed.cpp
+++ b/src/fleet/internal/zonefeed.cpp
@@ -41,7 +41,15 @@
 
 void ZoneFeed::read(const std::string &table, const std::string &fromKey, TableCompletion completion)
 {
-    m_store.read(table, fromKey, std::move(completion));
+    const Duration sent = m_clock.elapsed();
+    const bool firstPage = fromKey.empty();
+    m_store.read(
+        table, fromKey, [this, table, firstPage, sent, completion = std::move(completion)](const TableAnswer &answer) {
+            if (answer.outcome == TableOutcome::Done && firstPage && !answer.hasMore) {
+                recordRead(table, answer, sent);
+            }
+            completion(answer);
+        });
 }
 
 void ZoneFeed::write(const ConditionalWrite &write, TableCompletion completion)
@@ -269,6 +277,22 @@
     answerPending(table);
 }
 
+/// Starts recording at the version of a complete read. Watches that began at an earlier version end, since the changes
+/// before it, among them the removed rows, are not known.
+void ZoneFeed::recordRead(const std::string &table, const TableAnswer &answer, Duration sent)
+{
+    RecentChanges &recent = m_recentChanges[table];
+    if (answer.version <= recent.version) {
+        return;
+    }
+    recent.rows.clear();
+    recent.completeSince = answer.version;
+    recent.version = answer.version;
+    recent.direct = true;
+    recent.freshness.confirm({.storeClock = answer.storeClock, .sent = sent, .received = m_clock.elapsed()});
+    answerPending(table);
+}
+
 void ZoneFeed::onWatch(PeerWatchId id, const TableWatch &watch)
 {
     m_pending[id] = {watch, m_clock.elapsed()};
--- a/src/fleet/tests/zonefeed_tests.cpp
+++ b/src/fleet/tests/zonefeed_tests.cpp
@@ -303,6 +303,40 @@
     CHECK(!watches.answers.at(1).second.known);
 }
 
+// Guards against nodes that wait for a relay which has read the table again after the store had dropped its history
+// (CONFIG).
+TEST(ZoneFeed, aRelayThatReadsTheTableAgainEndsTheWatchesThatItCannotServe)
+{
+    fillCopy();
+    feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 1, .wait = 1s});
+    store.put("a", "2");
+    feed.read(Config, {}, [](const TableAnswer &) {});
+    store.answer();
+    LONGS_EQUAL(1, watches.answers.size());
+    CHECK(!watches.answers[0].second.known);
+    // The next watch can be served from the read on.
+    feed.onWatch(PeerWatchId{8}, {.requestId = 0, .table = Config, .afterVersion = 2, .wait = 1s});
+    LONGS_EQUAL(1, watches.answers.size());
+    store.put("a", "3");
+    watch(2);
+    store.answer();
+    LONGS_EQUAL(2, watches.answers.size());
+    LONGS_EQUAL(1, watches.answers[1].second.rows.size());
+}
+
+TEST(ZoneFeed, aReadOfSeveralPagesIsNotTakenForACompleteCopy)
+{
+    store.pageSize = 1;
+    store.put("a", "1");
+    store.put("b", "1");
+    feed.read(Config, {}, [](const TableAnswer &) {});
+    store.answer();
+    feed.read(Config, "b", [](const TableAnswer &) {});
+    store.answer();
+    feed.onWatch(PeerWatchId{7}, {.requestId = 0, .table = Config, .afterVersion = 2, .wait = 1s});
+    CHECK(!watches.answers.at(0).second.known);
+}
+
 TEST(ZoneFeed, withoutConfirmationTheRelayReportsTheAgeOfItsCopy)
 {
     fillCopy();
--- a/src/fleet/zonefeed.h
+++ b/src/fleet/zonefeed.h
@@ -99,6 +99,7 @@
     void onSourceFailed(OutgoingWatchId id, const NodeName &source, const char *reason, bool responsive);
     void finish(OutgoingWatchId id, const TableAnswer &answer);
     void record(const std::string &table, std::uint64_t afterVersion, const TableAnswer &answer, Duration sent);
+    void recordRead(const std::string &table, const TableAnswer &answer, Duration sent);
     [[nodiscard]] TableChanges changesFor(const PendingWatch &pending) const;
     void answerPending(const std::string &table);
     void expirePending(PeerWatchId id);
