Keep the request limit that an instance names in its answers

Cause: nothing read the header; an instance got what its slots allow, and a node that had just started gave it that at once, before the first answer could tell of the limit.

Change: the node of the instance, through which all its requests pass, keeps the limit. SlotQueue starts requests evenly at the rate (RequestPacer) and queues or refuses the others as for a full instance. Until the first answer since the start of the node or the instance eight slots are used. The slots that a node reports, and by which the others choose it, are those that the rate keeps busy.

Without the pacer and the first slots, TrafficNode.anInstanceGetsNoMoreRequestsThanItsAnswersAllow and anInstanceGetsFewRequestsAtOnceBeforeItsFirstAnswer fail.

--- a/src/fleet/internal/nodedirectory.cpp
+++ b/src/fleet/internal/nodedirectory.cpp
@@ -72,8 +72,11 @@
 
 double NodeDirectory::load(const NodeState &state, TimePoint now) const
 {
-    const int slots = std::max(state.entry.slots, 1);
     const bool reported = state.reportedAt != TimePoint{} && now - state.reportedAt < ReportLifetime;
+    // The node may use fewer slots than its instance has announced, for instance because of the instance's request
+    // rate.
+    const bool limited = reported && state.report.slots > 0 && state.report.slots < state.entry.slots;
+    const int slots = std::max(limited ? state.report.slots : state.entry.slots, 1);
     const int busy = reported ? state.report.running + state.report.queued + state.sentSinceReport : state.inFlight;
     return static_cast<double>(std::max(busy, state.inFlight)) / slots + FailureLoad * state.failureRatio;
 }
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -278,6 +278,21 @@
     CHECK(chooseMany(8)["far"] >= 5);
 }
 
+TEST(NodeDirectory, anInstanceWhoseNodeUsesFewSlotsIsFullEarlier)
+{
+    directory.update(entry("own", "a"));
+    directory.update(entry("far", "b"));
+    report("far", 1);
+    NodeReport limited;
+    limited.node = NodeName("own");
+    limited.startedAtMs = 5;
+    limited.sequence = ++sequence;
+    limited.slots = 3;
+    limited.running = 3;
+    directory.recordReport(limited, Start);
+    CHECK(chooseMany(8)["far"] >= 5);
+}
+
 TEST(NodeDirectory, aZoneWithoutReportsGetsNoCallsWhileTheOwnHasAnInstance)
 {
     // A zone is cut off while the own zone is full; according to its last reports it has capacity.
--- a/src/instance/internal/slotqueue.cpp
+++ b/src/instance/internal/slotqueue.cpp
@@ -44,9 +44,28 @@
     return m_slots == 0 ? 0 : std::max(1, static_cast<int>(m_slots * usable));
 }
 
+int SlotQueue::sustainableLimit(TimePoint now) const
+{
+    const auto rate = m_pacer.rate();
+    if (!rate || m_meanWorkSeconds == 0) {
+        return limit(now);
+    }
+    return std::min(limit(now), std::max(1, static_cast<int>(std::ceil(*rate * m_meanWorkSeconds))));
+}
+
+void SlotQueue::setRequestRate(std::optional<double> requestsPerSecond)
+{
+    m_pacer.setRate(requestsPerSecond);
+}
+
+bool SlotQueue::canStart(TimePoint now) const
+{
+    return running() < limit(now) && m_pacer.waitTime(0, now) == Duration{0};
+}
+
 SlotDecision SlotQueue::offer(const SlotRequest &request, TimePoint now)
 {
-    if (m_queued == 0 && running() < limit(now)) {
+    if (m_queued == 0 && canStart(now)) {
         start(request, now);
         return {.outcome = SlotOutcome::Start, .expectedWait = Duration{0}};
     }
@@ -64,6 +83,7 @@
 void SlotQueue::start(const SlotRequest &request, TimePoint now)
 {
     m_running[request.ticket] = {request.route, now};
+    m_pacer.recordStart(now);
 }
 
 std::vector<TicketId> SlotQueue::finish(TicketId ticket, bool answerComplete, TimePoint now)
@@ -74,13 +94,18 @@
             const double work = toSeconds(now - entry->second.startedAt);
             auto [mean, first] = m_workSeconds.try_emplace(entry->second.route, work);
             mean->second += first ? 0 : WorkTimeWeight * (work - mean->second);
+            m_meanWorkSeconds += m_meanWorkSeconds == 0 ? work : WorkTimeWeight * (work - m_meanWorkSeconds);
         }
         m_running.erase(entry);
     }
+    return startQueued(now);
+}
+
+std::vector<TicketId> SlotQueue::startQueued(TimePoint now)
+{
     std::vector<TicketId> started;
-    const int slots = limit(now);
     for (auto &[key, queue] : m_queues) {
-        while (!queue.empty() && running() < slots) {
+        while (!queue.empty() && canStart(now)) {
             const SlotRequest request = queue.front().request;
             queue.erase(queue.begin());
             --m_queued;
@@ -150,16 +175,18 @@
 Duration SlotQueue::expectedWait(QueueKey key, TimePoint now) const
 {
     double work = 0;
+    int before = 0;
     for (const auto &[queueKey, queue] : m_queues) {
         if (queueKey > key) {
             break;
         }
+        before += static_cast<int>(queue.size());
         for (const QueuedRequest &queued : queue) {
             work += toSeconds(estimatedWorkTime(queued.request.route));
         }
     }
     const int slots = std::max(limit(now), 1);
-    return fromSeconds(work / slots);
+    return std::max(fromSeconds(work / slots), m_pacer.waitTime(before, now));
 }
 
 } // namespace vanillatack
--- a/src/instance/slotqueue.h
+++ b/src/instance/slotqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "instance/requestpacer.h"
 #include "model/ids.h"
 
 #include <map>
@@ -30,9 +31,9 @@
     Duration expectedWait{0}; ///< Estimated time in the queue, also set for a refused request; 0 when started.
 };
 
-/// Limits the requests that run concurrently at one instance to its slots, and queues the others by importance. A
-/// request whose expected wait is too long is refused immediately, so that only requests that can still succeed are
-/// queued.
+/// Limits the requests that run concurrently at one instance to its slots and, if the instance names one, to its
+/// request rate, and queues the others by importance. A request whose expected wait is too long is refused immediately,
+/// so that only requests that can still succeed are queued.
 class SlotQueue
 {
 public:
@@ -42,14 +43,24 @@
     /// Records that the instance refused a request because it was full; lowers the limit for a short time.
     void recordOverflow(TimePoint now);
 
-    /// Starts the request if a slot is free and nothing is queued. Otherwise queues it, or refuses it if the expected
-    /// wait exceeds maxWait or the time left until the request must start to meet its deadline.
+    /// Sets the requests per second that the instance accepts; nullopt: any number.
+    void setRequestRate(std::optional<double> requestsPerSecond);
+    [[nodiscard]] std::optional<double> requestRate() const
+    {
+        return m_pacer.rate();
+    }
+
+    /// Starts the request if a slot is free, the rate allows it and nothing is queued. Otherwise queues it, or refuses
+    /// it if the expected wait exceeds maxWait or the time left until the request must start to meet its deadline.
     SlotDecision offer(const SlotRequest &request, TimePoint now);
 
     /// Frees the slot of a running request and returns the tickets of the queued requests that start now. The work time
     /// is recorded only for complete answers.
     std::vector<TicketId> finish(TicketId ticket, bool answerComplete, TimePoint now);
 
+    /// Starts the queued requests for which the rate has left room meanwhile, and returns their tickets.
+    std::vector<TicketId> startQueued(TimePoint now);
+
     /// Removes a queued request. Returns false if it is not queued.
     bool cancel(TicketId ticket);
 
@@ -62,6 +73,9 @@
 
     /// Maximum number of requests that may run now.
     [[nodiscard]] int limit(TimePoint now) const;
+
+    /// Number of requests that can be kept running: the limit, or fewer if the request rate does not fill it.
+    [[nodiscard]] int sustainableLimit(TimePoint now) const;
     [[nodiscard]] int running() const
     {
         return static_cast<int>(m_running.size());
@@ -92,12 +106,15 @@
     };
 
     void start(const SlotRequest &request, TimePoint now);
-    /// Estimated work of the queued requests of the same or a higher priority, divided by the limit. Running requests
-    /// are not counted.
+    [[nodiscard]] bool canStart(TimePoint now) const;
+    /// The larger of two waits for the queued requests of the same or a higher priority: their estimated work, divided
+    /// by the limit, and the time in which the rate admits them. Running requests are not counted.
     [[nodiscard]] Duration expectedWait(QueueKey key, TimePoint now) const;
     /// Mean work time of the route, or a default when none of its requests has finished yet.
     [[nodiscard]] Duration estimatedWorkTime(const RouteName &route) const;
 
+    RequestPacer m_pacer;
+    double m_meanWorkSeconds = 0; ///< Mean work time of all routes, exponentially weighted; 0 when none has finished.
     int m_slots = 0;
     int m_queued = 0;
     TimePoint m_overflowAt;
--- a/src/instance/tests/instance_tests.cpp
+++ b/src/instance/tests/instance_tests.cpp
@@ -1,6 +1,9 @@
 #include "instance/localinstance.h"
+#include "instance/requestpacer.h"
 #include "instance/slotqueue.h"
 
+#include <cmath>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace vanillatack;
@@ -37,6 +40,49 @@
 
 } // namespace
 
+TEST_GROUP(RequestPacer)
+{
+    RequestPacer pacer;
+
+    /// Starts as many requests as the pacer allows in the time, with a new one waiting at every millisecond.
+    int startMany(TimePoint from, Duration time)
+    {
+        int started = 0;
+        for (TimePoint now = from; now < from + time; now += 1ms) {
+            while (started < 100000 && pacer.waitTime(0, now) == Duration{0}) {
+                pacer.recordStart(now);
+                ++started;
+            }
+        }
+        return started;
+    }
+};
+
+// Guards against an instance that gets more than one and a half times the requests of its limit in four seconds
+// (LIMIT).
+TEST(RequestPacer, startsAtMostOneAndAHalfTimesTheRateInFourSeconds)
+{
+    for (const double rate : {0.0, 0.3, 1.0, 3.7, 50.0, 400.0}) {
+        pacer = RequestPacer();
+        pacer.setRate(rate);
+        const double allowed = 1.5 * rate * 4 + 5;
+        CHECK(startMany(Start, 4s) <= allowed); // Also after an idle time, when unused time is made up for.
+        const int later = startMany(Start + 60s, 4s);
+        CHECK(later <= allowed);
+        CHECK(later >= std::floor(rate * 4));
+    }
+}
+
+TEST(RequestPacer, withoutARateRequestsNeverWait)
+{
+    pacer.setRate(1.0);
+    pacer.recordStart(Start);
+    CHECK(pacer.waitTime(0, Start) == 1s);
+    CHECK(pacer.waitTime(2, Start) == 3s);
+    pacer.setRate(std::nullopt);
+    CHECK(pacer.waitTime(9, Start) == 0s);
+}
+
 TEST_GROUP(LocalInstance)
 {
     LocalInstance instance{ServiceName("osat"), Address, 6s};
@@ -191,3 +237,44 @@
     LONGS_EQUAL(70, queue.limit(Start));
     LONGS_EQUAL(94, queue.limit(Start + 2s));
 }
+
+TEST(SlotQueue, startsQueuedRequestsAtTheRateOfTheInstance)
+{
+    queue.setSlots(100);
+    queue.setRequestRate(2.0);
+    CHECK(queue.offer(request(1, 0, false, Start), Start).outcome == SlotOutcome::Start);
+    CHECK(queue.offer(request(2, 2, false, Start), Start).outcome == SlotOutcome::Queued);
+    CHECK(queue.offer(request(3, 0, false, Start), Start).outcome == SlotOutcome::Queued);
+    LONGS_EQUAL(0, queue.startQueued(Start + 499ms).size());
+    const auto started = queue.startQueued(Start + 500ms);
+    LONGS_EQUAL(1, started.size());
+    LONGS_EQUAL(3, started[0].value);
+    queue.setRequestRate(std::nullopt);
+    LONGS_EQUAL(1, queue.startQueued(Start + 500ms).size());
+}
+
+TEST(SlotQueue, refusesRequestsThatTheRateWouldKeepTooLong)
+{
+    queue.setSlots(100);
+    queue.setRequestRate(2.0);
+    queue.offer(request(1, 0, false, Start), Start);
+    SlotRequest shortMaxWait = request(2, 0, false, Start);
+    shortMaxWait.maxWait = 600ms;
+    CHECK(queue.offer(shortMaxWait, Start).outcome == SlotOutcome::Queued);
+    shortMaxWait.ticket = TicketId{3};
+    const SlotDecision decision = queue.offer(shortMaxWait, Start);
+    CHECK(decision.outcome == SlotOutcome::Refused);
+    CHECK(decision.expectedWait == 1s);
+}
+
+TEST(SlotQueue, reportsTheRequestsThatTheRateKeepsRunning)
+{
+    queue.setSlots(100);
+    LONGS_EQUAL(94, queue.sustainableLimit(Start));
+    queue.offer(request(1, 0, false, Start - 100ms), Start - 100ms);
+    queue.finish(TicketId{1}, true, Start);
+    queue.setRequestRate(50.0);
+    LONGS_EQUAL(5, queue.sustainableLimit(Start));
+    queue.setRequestRate(10000.0);
+    LONGS_EQUAL(94, queue.sustainableLimit(Start));
+}
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -189,7 +189,7 @@
     report.startedAtMs = m_startedAtMs;
     report.sequence = ++m_sequence;
     report.service = m_dependencies.settings.service;
-    report.slots = m_dependencies.ingress.accepts() ? m_dependencies.ingress.slotQueue().limit(now) : 0;
+    report.slots = m_dependencies.ingress.accepts() ? m_dependencies.ingress.slotQueue().sustainableLimit(now) : 0;
     report.running = m_dependencies.ingress.slotQueue().running();
     report.queued = m_dependencies.ingress.slotQueue().queued();
     report.loads = m_dependencies.ingress.workTimes();
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -3,7 +3,11 @@
 #include "base/durations.h"
 #include "http/http.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
+
 #include <algorithm>
+#include <cmath>
 
 namespace vanillatack {
 
@@ -20,9 +24,12 @@
 constexpr Duration DeadlineMargin = std::chrono::milliseconds(10);
 /// Extra time to wait for the answer after the time limit sent to the instance.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(5);
-/// How often the queue is checked for calls that have waited too long.
+/// How often the queue is checked for calls that have waited too long or may start.
 constexpr Duration QueueCheckInterval = std::chrono::milliseconds(20);
 constexpr int StatusMisdirectedRequest = 421;
+/// Slots that are used until the first answer: only answers tell whether the instance limits its request rate, and this
+/// node may have started beside an instance that does.
+constexpr int SlotsBeforeFirstAnswer = 8;
 
 const std::string *findHeader(const HeaderList &headers, std::string_view name)
 {
@@ -175,12 +182,16 @@
         m_instance.markUnreachable();
         return makeRefusal(RefusalKind::NoInstance, RunState::NotRun);
     }
-    if (findHeader(response.headers, names.notExecuted) != nullptr) {
+    const std::string *id = findHeader(response.headers, names.attemptId);
+    const bool matchesRequest = id != nullptr && *id == call.request.rootId;
+    const bool refused = findHeader(response.headers, names.notExecuted) != nullptr;
+    if (matchesRequest) {
+        recordRequestLimit(response.headers, !refused);
+    }
+    if (refused) {
         m_slotQueue.recordOverflow(m_clock.now());
         return makeRefusal(RefusalKind::UpstreamOverloaded, RunState::NotRun);
     }
-    const std::string *id = findHeader(response.headers, names.attemptId);
-    const bool matchesRequest = id != nullptr && *id == call.request.rootId;
     const bool success = response.status < 300;
     const bool complete = findHeader(response.headers, names.signature) != nullptr
         && findHeader(response.headers, "Content-Encoding") == nullptr;
@@ -199,6 +210,49 @@
     return reply;
 }
 
+/// Applies the request rate that the instance names in a response. An answer that names none ends the limit; a refusal
+/// does not.
+void IngressProxy::recordRequestLimit(const HeaderList &headers, bool answered)
+{
+    if (answered && !m_instanceAnswered) {
+        m_instanceAnswered = true;
+        updateSlots();
+    }
+    const std::string *text = findHeader(headers, m_settings.headers.requestLimit);
+    if (text == nullptr && !answered) {
+        return;
+    }
+    std::optional<double> limit;
+    if (text != nullptr) {
+        double value = 0;
+        if (!absl::SimpleAtod(*text, &value) || !std::isfinite(value) || value < 0) {
+            m_decisions.record("instance.limit-invalid", {{"instance", m_instance.current()->id}, {"value", *text}});
+            return;
+        }
+        limit = value;
+    }
+    const std::optional<double> before = m_slotQueue.requestRate();
+    m_slotQueue.setRequestRate(limit);
+    const std::optional<double> now = m_slotQueue.requestRate();
+    if (before != now) {
+        const auto describe = [](const std::optional<double> &rate) {
+            return rate ? absl::StrFormat("%.1f", *rate) : std::string("none");
+        };
+        m_decisions.record("instance.limit",
+                           {{"instance", m_instance.current()->id},
+                            {"limit_per_s", describe(now)},
+                            {"before", describe(before)},
+                            {"running", std::to_string(m_slotQueue.running())},
+                            {"queued", std::to_string(m_slotQueue.queued())}});
+    }
+}
+
+void IngressProxy::updateSlots()
+{
+    const int slots = m_instance.current() ? m_instance.current()->slots : 0;
+    m_slotQueue.setSlots(m_instanceAnswered ? slots : std::min(slots, SlotsBeforeFirstAnswer));
+}
+
 void IngressProxy::release(TicketId ticket, bool answerComplete)
 {
     const auto call = m_calls.extract(ticket);
@@ -266,8 +320,13 @@
 {
     const bool acceptedBefore = accepts();
     const std::string previousId = m_instance.current() ? m_instance.current()->id : "";
+    const std::uint64_t previousStart = m_instance.current() ? m_instance.current()->startedAtMs : 0;
     const AnnouncementVerdict verdict = m_instance.announce(announcement, m_clock.now());
-    m_slotQueue.setSlots(m_instance.current() ? m_instance.current()->slots : 0);
+    if (m_instance.current() && m_instance.current()->startedAtMs != previousStart) {
+        m_instanceAnswered = false;
+        m_slotQueue.setRequestRate(std::nullopt);
+    }
+    updateSlots();
     const bool changed =
         acceptedBefore != accepts() || (m_instance.current() && m_instance.current()->id != previousId);
     if (changed || verdict != AnnouncementVerdict::Accepted) {
@@ -306,7 +365,8 @@
     m_refusingNewCalls = true;
 }
 
-/// Refuses queued calls that have waited too long. Repeats until the queue is empty.
+/// Refuses queued calls that have waited too long and starts those for which the instance's request rate has left room.
+/// Repeats until the queue is empty.
 void IngressProxy::scheduleQueueCheck()
 {
     if (m_queueCheckScheduled || m_slotQueue.queued() == 0) {
@@ -318,6 +378,9 @@
         for (const TicketId ticket : m_slotQueue.expire(m_clock.now())) {
             refuse(ticket, RefusalKind::Overloaded, Duration{0});
         }
+        for (const TicketId ticket : m_slotQueue.startQueued(m_clock.now())) {
+            start(ticket);
+        }
         scheduleQueueCheck();
     });
 }
--- a/src/proxy/internal/ingressproxy.h
+++ b/src/proxy/internal/ingressproxy.h
@@ -74,6 +74,8 @@
     void start(TicketId ticket);
     void onUpstreamResult(TicketId ticket, ClientResult result);
     CallReply classify(const Call &call, ClientResult result);
+    void recordRequestLimit(const HeaderList &headers, bool answered);
+    void updateSlots();
     void release(TicketId ticket, bool answerComplete);
     void refuse(TicketId ticket, RefusalKind kind, Duration expectedWait);
     void refuseQueued(RefusalKind kind);
@@ -90,6 +92,7 @@
     SlotQueue m_slotQueue;
     CallGraph m_callGraph;
     bool m_refusingNewCalls = false;
+    bool m_instanceAnswered = false; ///< Whether a request has been answered since the start of the instance.
     bool m_queueCheckScheduled = false;
     std::uint64_t m_lastTicket = 0;
     std::map<TicketId, Call> m_calls;
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -18,6 +18,8 @@
     std::string expectedInstance; ///< Id of the addressed instance; other instances refuse the request.
     std::string notExecuted; ///< Set by an instance that did not run the request.
     std::string signature; ///< Set by an instance on the answers that it produced.
+    /// Requests per second that an instance accepts from the whole fleet; set in its responses while it is limited.
+    std::string requestLimit;
 };
 
 /// Settings of one node.
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -94,7 +94,8 @@
             .callerService = "Caller-Service",
             .expectedInstance = "Expected",
             .notExecuted = "Not-Executed",
-            .signature = "Signature"};
+            .signature = "Signature",
+            .requestLimit = "Limit"};
 }
 
 /// An instance that sends a configured answer.
@@ -349,6 +350,76 @@
     LONGS_EQUAL(200, send("GET", "/open/1").response.status);
 }
 
+// Guards against an instance that gets far more requests than the limit that it names (LIMIT).
+TEST(TrafficNode, anInstanceGetsNoMoreRequestsThanItsAnswersAllow)
+{
+    bringUp();
+    farInstance.answer.headers.emplace_back("Limit", "2");
+    LONGS_EQUAL(200, send("GET", "/open/1").response.status);
+    farInstance.requests.clear();
+    results.clear();
+    for (int i = 0; i < 40; ++i) {
+        start("GET", "/open/2");
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(runUntil([&] {
+        return std::chrono::steady_clock::now() - begin > 1s;
+    }));
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    CHECK(!farInstance.requests.empty());
+    CHECK(farInstance.requests.size() <= 2 * elapsed.count() + 2); // One more for each end of the time.
+    // An answer without a limit ends it.
+    farInstance.answer = FakeInstance::success();
+    CHECK(runUntil([&] {
+        return results.size() == 40;
+    }));
+    LONGS_EQUAL(40, farInstance.requests.size());
+}
+
+TEST(TrafficNode, aLimitThatIsNoNumberIsIgnored)
+{
+    bringUp();
+    for (const char *text : {"", "x", "nan", "inf", "-3", "1e999"}) {
+        farInstance.answer = FakeInstance::success();
+        farInstance.answer.headers.emplace_back("Limit", text);
+        for (int i = 0; i < 5; ++i) {
+            LONGS_EQUAL(200, send("GET", "/open/1").response.status);
+        }
+    }
+}
+
+// Guards against a burst at an instance whose limit a node that has just started does not know yet (LIMIT).
+TEST(TrafficNode, anInstanceGetsFewRequestsAtOnceBeforeItsFirstAnswer)
+{
+    bringUp();
+    InstanceAnnouncement restarted = announcement("parts", farInstance);
+    restarted.startedAtMs = 6;
+    restarted.slots = 30;
+    farNode->announce(restarted);
+    farInstance.unresponsive = true;
+    for (int i = 0; i < 20; ++i) {
+        start("GET", "/open/1");
+    }
+    CHECK(runUntil([&] {
+        return farInstance.requests.size() >= 7;
+    }));
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(runUntil([&] {
+        return std::chrono::steady_clock::now() - begin > 200ms;
+    }));
+    LONGS_EQUAL(7, farInstance.requests.size());
+    farInstance.unresponsive = false;
+    const std::vector<ExchangeId> waiting = farInstance.exchanges;
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+        HttpResponse response = FakeInstance::success();
+        response.headers.emplace_back("Attempt", farInstance.requests[i].header("Attempt"));
+        farInstance.server->respond(waiting[i], response);
+    }
+    CHECK(runUntil([&] {
+        return farInstance.requests.size() == 20;
+    }));
+}
+
 TEST(TrafficNode, sendsNothingToADrainingInstanceAndRefusesWithRetryAfter)
 {
     bringUp();
