Stop new requests to an instance that says in an answer that it is leaving

An instance that leaves says so in its answers (Server-Leaving). Its node read it in announcements only, so a node could send it requests later than the drain time after such an answer (DRAIN), where the announcement was late or lost.

Change: the first answer that says so counts as an announcement that the instance is draining, final until its next start.

Evidence: TrafficNode.anInstanceThatSaysThatItIsLeavingGetsNoMoreRequests fails without the change (200 instead of 503).

--- a/src/instance/internal/localinstance.cpp
+++ b/src/instance/internal/localinstance.cpp
@@ -47,6 +47,13 @@
     return AnnouncementVerdict::Accepted;
 }
 
+void LocalInstance::markDraining()
+{
+    if (m_current) {
+        m_current->draining = true;
+    }
+}
+
 void LocalInstance::markUnreachable()
 {
     m_unreachable = true;
--- a/src/instance/localinstance.h
+++ b/src/instance/localinstance.h
@@ -48,6 +48,10 @@
     /// announced. startedAtMs 0 means the current start.
     AnnouncementVerdict withdraw(const std::string &id, std::uint64_t startedAtMs);
 
+    /// Records that the instance has said in a response that it is about to stop; the same as an announcement that it
+    /// is draining.
+    void markDraining();
+
     /// Records that nothing listens at the instance's address, or that another instance answered there. Reset by the
     /// next accepted announcement.
     void markUnreachable();
--- a/src/instance/tests/instance_tests.cpp
+++ b/src/instance/tests/instance_tests.cpp
@@ -126,6 +126,19 @@
     CHECK(instance.accepts(Start));
 }
 
+TEST(LocalInstance, drainingThatIsSaidInAResponseIsFinalUntilTheNextStart)
+{
+    instance.markDraining();
+    instance.announce(announcement("i-1", 5, 1), Start);
+    CHECK(instance.accepts(Start));
+    instance.markDraining();
+    CHECK(!instance.accepts(Start));
+    instance.announce(announcement("i-1", 5, 2), Start);
+    CHECK(!instance.accepts(Start));
+    instance.announce(announcement("i-1", 6, 1), Start);
+    CHECK(instance.accepts(Start));
+}
+
 TEST(LocalInstance, withdrawalLastsUntilTheNextStart)
 {
     instance.announce(announcement("i-1", 5, 2), Start);
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -187,6 +187,7 @@
     const bool refused = findHeader(response.headers, names.notExecuted) != nullptr;
     if (matchesRequest) {
         recordRequestLimit(response.headers, !refused);
+        recordLeaving(response.headers);
     }
     if (refused) {
         m_slotQueue.recordOverflow(m_clock.now());
@@ -210,6 +211,20 @@
     return reply;
 }
 
+/// Stops new requests to an instance that says in a response that it is about to stop, before it announces so.
+void IngressProxy::recordLeaving(const HeaderList &headers)
+{
+    const std::string *leaving = findHeader(headers, m_settings.headers.leaving);
+    if (leaving == nullptr || *leaving != "1" || !m_instance.current() || m_instance.current()->draining) {
+        return;
+    }
+    m_instance.markDraining();
+    m_decisions.record("instance.leaving",
+                       {{"instance", m_instance.current()->id},
+                        {"running", std::to_string(m_slotQueue.running())},
+                        {"queued", std::to_string(m_slotQueue.queued())}});
+}
+
 /// Applies the request rate that the instance names in a response. An answer that names none ends the limit; a refusal
 /// does not.
 void IngressProxy::recordRequestLimit(const HeaderList &headers, bool answered)
--- a/src/proxy/internal/ingressproxy.h
+++ b/src/proxy/internal/ingressproxy.h
@@ -74,6 +74,7 @@
     void start(TicketId ticket);
     void onUpstreamResult(TicketId ticket, ClientResult result);
     CallReply classify(const Call &call, ClientResult result);
+    void recordLeaving(const HeaderList &headers);
     void recordRequestLimit(const HeaderList &headers, bool answered);
     void updateSlots();
     void release(TicketId ticket, bool answerComplete);
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -20,6 +20,7 @@
     std::string signature; ///< Set by an instance on the answers that it produced.
     /// Requests per second that an instance accepts from the whole fleet; set in its responses while it is limited.
     std::string requestLimit;
+    std::string leaving; ///< Set to "1" in the responses of an instance that is about to stop.
 };
 
 /// Settings of one node.
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -95,7 +95,8 @@
             .expectedInstance = "Expected",
             .notExecuted = "Not-Executed",
             .signature = "Signature",
-            .requestLimit = "Limit"};
+            .requestLimit = "Limit",
+            .leaving = "Leaving"};
 }
 
 /// An instance that sends a configured answer.
@@ -376,6 +377,21 @@
     LONGS_EQUAL(40, farInstance.requests.size());
 }
 
+// Guards against requests to an instance after an answer has said that it is leaving (DRAIN).
+TEST(TrafficNode, anInstanceThatSaysThatItIsLeavingGetsNoMoreRequests)
+{
+    bringUp();
+    farInstance.answer.headers.emplace_back("Leaving", "0");
+    LONGS_EQUAL(200, send("GET", "/open/1").response.status);
+    farInstance.answer.headers.back().second = "1";
+    LONGS_EQUAL(200, send("GET", "/open/1").response.status);
+    farInstance.requests.clear();
+    LONGS_EQUAL(503, send("GET", "/open/2").response.status);
+    farNode->announce(announcement("parts", farInstance));
+    LONGS_EQUAL(503, send("GET", "/open/2").response.status);
+    LONGS_EQUAL(0, farInstance.requests.size());
+}
+
 TEST(TrafficNode, aLimitThatIsNoNumberIsIgnored)
 {
     bringUp();
