--- a/src/fleet/internal/nodeentrycodec.cpp
+++ b/src/fleet/internal/nodeentrycodec.cpp
@@ -1,9 +1,30 @@
 #include "fleet/nodeentrycodec.h"
 
+#include "model/endpoint.h"
+
 #include <nlohmann/json.hpp>
 
+#include <limits>
+#include <stdexcept>
+
 namespace vanillatack {
 
+namespace {
+
+/// Reads an integer of at least the given minimum that fits into the type. Rejects everything that get() would convert.
+template<class Integer>
+Integer integer(const nlohmann::json &json, const char *name, std::uint64_t minimum)
+{
+    const nlohmann::json &value = json.at(name);
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() < minimum
+        || value.get<std::uint64_t>() > static_cast<std::uint64_t>(std::numeric_limits<Integer>::max())) {
+        throw std::out_of_range(std::string(name) + " is not an integer in its range");
+    }
+    return value.get<Integer>();
+}
+
+} // namespace
+
 std::string formatNodeEntry(const NodeEntry &entry)
 {
     return nlohmann::json{
@@ -29,15 +50,18 @@
         entry.node.value = json.at("node").get<std::string>();
         entry.zone.value = json.at("zone").get<std::string>();
         entry.peerEndpoint.address = json.at("address").get<std::string>();
-        entry.peerEndpoint.port = json.at("port").get<std::uint16_t>();
+        if (!isIpv4Address(entry.peerEndpoint.address)) {
+            throw std::invalid_argument("address is not an IPv4 address");
+        }
+        entry.peerEndpoint.port = integer<std::uint16_t>(json, "port", 1);
         entry.service.value = json.at("service").get<std::string>();
-        entry.nodeStartedAtMs = json.at("started_at_ms").get<std::uint64_t>();
+        entry.nodeStartedAtMs = integer<std::uint64_t>(json, "started_at_ms", 0);
         entry.instance = json.at("instance").get<std::string>();
-        entry.slots = json.at("slots").get<int>();
+        entry.slots = integer<int>(json, "slots", 0);
         entry.accepting = json.at("accepting").get<bool>();
         entry.leaving = json.at("leaving").get<bool>();
         return entry;
-    } catch (const nlohmann::json::exception &exception) {
+    } catch (const std::exception &exception) {
         return makeError(ErrorKind::InvalidMessage,
                          std::string("A row of the node registry cannot be parsed: ") + exception.what() + ".",
                          "Check that all nodes run compatible versions and that nothing else writes the table.");
--- a/src/fleet/internal/noderegistry.cpp
+++ b/src/fleet/internal/noderegistry.cpp
@@ -129,6 +129,12 @@
                           {{"key", row.key}, {"error", entry.error().text()}});
         return;
     }
+    if (entry.value().node.value != row.key) {
+        RegistryLog.error("A registry row names another node than its key and is ignored. Check that nothing but the "
+                          "nodes writes the table.",
+                          {{"key", row.key}, {"peer", entry.value().node.value}});
+        return;
+    }
     m_listener.onNode(entry.value());
 }
 
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -230,6 +230,40 @@
     LONGS_EQUAL(1, listener.nodes.size());
 }
 
+// Guards against one entry of another writer that ends the process or names a node that cannot exist.
+TEST(NodeRegistry, ignoresEntriesWithImpossibleValues)
+{
+    const std::string valid = formatNodeEntry(entry("n2", "a"));
+    const auto replaced = [&valid](const std::string &from, const std::string &to) {
+        std::string text = valid;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    const std::string port = "\"port\":" + std::to_string(entry("n2", "a").peerEndpoint.port);
+    const std::string slots = "\"slots\":" + std::to_string(entry("n2", "a").slots);
+    const std::vector<std::string> texts{std::string(200000, '['),
+                                         std::string(200000, '[') + std::string(200000, ']'),
+                                         replaced(port, "\"port\":70000"),
+                                         replaced(port, "\"port\":0"),
+                                         replaced(port, "\"port\":-1"),
+                                         replaced(port, "\"port\":80.5"),
+                                         replaced(slots, "\"slots\":1e300"),
+                                         replaced(slots, "\"slots\":1e400"),
+                                         replaced(slots, "\"slots\":99999999999"),
+                                         replaced(slots, "\"slots\":-3"),
+                                         replaced("\"10.", "\"a10."),
+                                         replaced("\"n2\"", "\"n3\"")};
+    registry.start();
+    settle();
+    for (const std::string &text : texts) {
+        store.put("n2", text);
+        settle();
+        CHECK(listener.nodes.empty());
+    }
+    store.put("n4", formatNodeEntry(entry("n4", "a")));
+    settle();
+    LONGS_EQUAL(1, listener.nodes.size());
+}
+
 TEST_GROUP(NodeDirectory)
 {
     NodeDirectory directory{ZoneName("a")};
