Take a refusal for "not run" only if it names the request

Another operator reported clients that were told "not run, try again" for requests that an instance had run or was running (REFUSED, TWICE), after a faulty instance had written an earlier refusal once more. The client of the instance discards a response that names another attempt, but a refusal that names none, with 421 or the header for "not executed", was taken for the answer to the request that was waiting.

Change: a response that does not repeat the attempt id proves nothing; the request ends with an unknown outcome.

Evidence: TrafficNode.aRefusalThatDoesNotBelongToTheRequestDoesNotProveThatItHasNotRun failed before (503 instead of 502).

--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -161,7 +161,7 @@
     }
 }
 
-/// Converts the result of the upstream request to a reply. An answer must repeat the attempt id, to prove that it
+/// Converts the result of the upstream request to a reply. A response must repeat the attempt id, to prove that it
 /// belongs to this request; a status below 300 must also carry the signature header and no Content-Encoding, to prove
 /// that it is the instance's complete answer. Otherwise the call fails with BadUpstreamReply.
 CallReply IngressProxy::classify(const Call &call, ClientResult result)
@@ -178,17 +178,18 @@
         return makeRefusal(RefusalKind::UpstreamFailed, RunState::Unknown);
     }
     HttpResponse &response = result.response;
+    const std::string *id = findHeader(response.headers, names.attemptId);
+    if (id == nullptr || *id != call.request.rootId) {
+        // Also a refusal: it may repeat that of an earlier request while the instance runs this one.
+        return makeRefusal(RefusalKind::BadUpstreamReply, RunState::Unknown);
+    }
     if (response.status == StatusMisdirectedRequest) {
         m_instance.markUnreachable();
         return makeRefusal(RefusalKind::NoInstance, RunState::NotRun);
     }
-    const std::string *id = findHeader(response.headers, names.attemptId);
-    const bool matchesRequest = id != nullptr && *id == call.request.rootId;
     const bool refused = findHeader(response.headers, names.notExecuted) != nullptr;
-    if (matchesRequest) {
-        recordRequestLimit(response.headers, !refused);
-        recordLeaving(response.headers);
-    }
+    recordRequestLimit(response.headers, !refused);
+    recordLeaving(response.headers);
     if (refused) {
         m_slotQueue.recordOverflow(m_clock.now());
         return makeRefusal(RefusalKind::UpstreamOverloaded, RunState::NotRun);
@@ -196,7 +197,7 @@
     const bool success = response.status < 300;
     const bool complete = findHeader(response.headers, names.signature) != nullptr
         && findHeader(response.headers, "Content-Encoding") == nullptr;
-    if (!matchesRequest || (success && !complete)) {
+    if (success && !complete) {
         return makeRefusal(RefusalKind::BadUpstreamReply, RunState::Unknown);
     }
     CallReply reply;
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -119,7 +119,9 @@
             return;
         }
         HttpResponse response = answer;
-        response.headers.emplace_back("Attempt", request.header("Attempt"));
+        if (repeatsAttemptId) {
+            response.headers.emplace_back("Attempt", request.header("Attempt"));
+        }
         server->respond(exchange, response);
     }
 
@@ -131,6 +133,7 @@
     std::unique_ptr<IHttpServer> server;
     HttpResponse answer = success();
     bool unresponsive = false;
+    bool repeatsAttemptId = true;
     std::vector<HttpRequest> requests;
     std::vector<ExchangeId> exchanges;
     std::vector<ExchangeId> abandonedExchanges;
@@ -351,6 +354,23 @@
     LONGS_EQUAL(200, send("GET", "/open/1").response.status);
 }
 
+// Guards against "not run" for a request that an instance runs, because of a refusal that belongs to another request
+// (REFUSED).
+TEST(TrafficNode, aRefusalThatDoesNotBelongToTheRequestDoesNotProveThatItHasNotRun)
+{
+    bringUp();
+    farInstance.repeatsAttemptId = false;
+    farInstance.answer = {};
+    farInstance.answer.status = 503;
+    farInstance.answer.headers = {{"Not-Executed", "1"}};
+    LONGS_EQUAL(502, send("POST", "/write/1", {{"Key", "k1"}}).response.status);
+    farInstance.answer.status = 421;
+    LONGS_EQUAL(502, send("POST", "/write/1", {{"Key", "k1"}}).response.status);
+    farInstance.repeatsAttemptId = true;
+    farInstance.answer.status = 503;
+    LONGS_EQUAL(503, send("POST", "/write/1", {{"Key", "k1"}}).response.status);
+}
+
 // Guards against an instance that gets far more requests than the limit that it names (LIMIT).
 TEST(TrafficNode, anInstanceGetsNoMoreRequestsThanItsAnswersAllow)
 {
