Forget sources that are no longer avoided, and start no queued call at an instance that takes none

The map of avoided sources kept an entry for each name that had ever failed. The queue check could start a call that was queued before the node began to refuse calls; the end of a running call refuses it instead, as before the check started calls.

--- a/src/fleet/internal/zonefeed.cpp
+++ b/src/fleet/internal/zonefeed.cpp
@@ -223,7 +223,11 @@
 
 void ZoneFeed::avoid(const std::string &table, const NodeName &source, const char *reason)
 {
-    m_avoidedUntil[source] = m_clock.elapsed() + AvoidanceTime;
+    const Duration now = m_clock.elapsed();
+    std::erase_if(m_avoidedUntil, [now](const auto &entry) {
+        return entry.second <= now;
+    });
+    m_avoidedUntil[source] = now + AvoidanceTime;
     FeedLog.info("A source cannot serve the watch of a table; asking the next one.",
                  {{"table", table}, {"source", source == Store ? "store" : source.value}, {"reason", reason}});
     if (source == Store) {
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -394,8 +394,10 @@
         for (const TicketId ticket : m_slotQueue.expire(m_clock.now())) {
             refuse(ticket, RefusalKind::Overloaded, Duration{0});
         }
-        for (const TicketId ticket : m_slotQueue.startQueued(m_clock.now())) {
-            start(ticket);
+        if (accepts()) {
+            for (const TicketId ticket : m_slotQueue.startQueued(m_clock.now())) {
+                start(ticket);
+            }
         }
         scheduleQueueCheck();
     });
