--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -86,6 +86,19 @@
         boost::asio::write(m_socket, boost::asio::buffer(bytes));
     }
 
+    /// Sends the bytes again and again until the other side closes the connection. Returns the number of bytes sent.
+    std::size_t sendUntilClosed(const std::string &bytes)
+    {
+        std::size_t sent = 0;
+        const bool closed = runUntil(m_loop, [&] {
+            boost::system::error_code error;
+            sent += m_socket.write_some(boost::asio::buffer(bytes), error);
+            return error && error != boost::asio::error::would_block;
+        });
+        CHECK(closed);
+        return sent;
+    }
+
     /// Reads until the text is received or the other side has closed.
     std::string readUntil(const std::string &text)
     {
@@ -462,6 +475,41 @@
     CHECK(waitForResult().outcome == ClientOutcome::Broken);
 }
 
+// Guards against memory that grows as long as a faulty server sends bytes that are no response.
+TEST(HttpClient, aHeadWithoutEndIsCutOff)
+{
+    send();
+    RawConnection connection = accept();
+    connection.send("HTTP/1.1 200 OK\r\n");
+    connection.sendUntilClosed("X-Filler: " + std::string(1000, 'x') + "\r\n");
+    CHECK(waitForResult().outcome == ClientOutcome::Broken);
+}
+
+// Guards against memory that grows as long as a faulty server sends a body.
+TEST(HttpClient, aBodyWithoutEndIsCutOff)
+{
+    constexpr std::size_t MaxBodyBytes = 100000;
+    client = makeHttpClient(loop, {.maxBodyBytes = MaxBodyBytes});
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\nId: a1\r\n\r\n", "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        const std::size_t before = results.size();
+        send();
+        RawConnection connection = accept();
+        connection.send(head);
+        connection.sendUntilClosed("3e8\r\n" + std::string(1000, 'x') + "\r\n");
+        CHECK(waitForResult(before + 1).outcome == ClientOutcome::Broken);
+    }
+}
+
+// Guards against interim responses or responses of earlier requests that never end.
+TEST(HttpClient, responsesOfOtherRequestsWithoutEndAreCutOffByTheTimeout)
+{
+    send("a2", 300ms);
+    RawConnection connection = accept();
+    connection.sendUntilClosed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 2\r\n\r\nno");
+    CHECK(waitForResult().outcome == ClientOutcome::TimedOut);
+}
+
 TEST(HttpClient, aRefusedConnectionSendsNothing)
 {
     acceptor.close();
