--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -118,9 +118,9 @@
     // workspaces, no request is.
     request.innerCall = route->open && !m_routeTable.config().workspaces.empty()
         && http.header(m_dependencies.settings.headers.key).empty();
-    request.idempotent = route->idempotent;
+    request.idempotent = route->isIdempotent();
     request.targetLatency = route->targetLatency;
-    request.maxRuns = route->idempotent ? std::max(route->maxAttempts, 1) : 1;
+    request.maxRuns = route->isIdempotent() ? std::max(route->maxAttempts, 1) : 1;
     request.rank = route->rank;
     Duration left = route->timeout;
     double callerLeftMs = 0;
@@ -129,6 +129,9 @@
                         std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(callerLeftMs)));
     }
     request.deadline = now + left;
+    if (route->services.empty()) {
+        return makeRejection(request, 503, RefusalKind::NotReady);
+    }
     if (const auto rejection = authenticate(http, *route, request)) {
         return rejection;
     }
@@ -194,6 +197,9 @@
     if (workspace == nullptr) {
         return Rejection{401, RefusalKind::UnknownKey};
     }
+    if (workspace->suspended) {
+        return makeRejection(request, 503, RefusalKind::NotReady);
+    }
     request.workspace = workspace->name;
     request.rank = workspace->rank.value_or(request.rank);
     return std::nullopt;
--- a/src/routes/internal/routetable.cpp
+++ b/src/routes/internal/routetable.cpp
@@ -1,5 +1,7 @@
 #include "routes/routetable.h"
 
+#include "base/text.h"
+
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
@@ -9,11 +11,12 @@
 RouteTable::RouteTable(TrafficConfig config)
     : m_config(std::move(config))
 {
-    for (HostRoutes &host : m_config.hosts) {
-        std::stable_sort(host.routes.begin(), host.routes.end(), [](const TrafficRoute &a, const TrafficRoute &b) {
-            return a.prefix.size() > b.prefix.size();
-        });
-        m_hosts[host.host] = &host;
+    for (const HostRoutes &host : m_config.hosts) {
+        HostIndex &index = m_hosts[host.host];
+        for (const TrafficRoute &route : host.routes) {
+            index.routes.emplace(route.prefix, &route);
+            index.longestPrefix = std::max(index.longestPrefix, route.prefix.size());
+        }
     }
     for (const TrafficWorkspace &workspace : m_config.workspaces) {
         for (const std::string &key : workspace.keys) {
@@ -29,10 +32,13 @@
     if (entry == m_hosts.end()) {
         return nullptr;
     }
+    const HostIndex &index = entry->second;
     const std::string_view path = target.substr(0, target.find_first_of("?#"));
-    for (const TrafficRoute &route : entry->second->routes) {
-        if (path.starts_with(route.prefix)) {
-            return &route;
+    std::size_t slash = std::min(path.size(), index.longestPrefix);
+    while (slash > 0 && (slash = path.rfind('/', slash - 1)) != std::string_view::npos) {
+        const auto route = index.routes.find(asAbsl(path.substr(0, slash + 1)));
+        if (route != index.routes.end()) {
+            return route->second;
         }
     }
     return nullptr;
@@ -40,7 +46,7 @@
 
 const TrafficWorkspace *RouteTable::workspaceOf(std::string_view key) const
 {
-    const auto entry = m_keys.find(std::string(key));
+    const auto entry = m_keys.find(asAbsl(key));
     return entry == m_keys.end() ? nullptr : entry->second;
 }
 
--- a/src/routes/tests/routes_tests.cpp
+++ b/src/routes/tests/routes_tests.cpp
@@ -41,6 +41,24 @@
     POINTERS_EQUAL(nullptr, table.find("", "/parts/7"));
 }
 
+TEST(RouteTable, findsPrefixesOfAnyDepth)
+{
+    TrafficConfig config;
+    config.hosts.push_back(
+        {"h", {route("deep", "/a/b/c/", {}), route("middle", "/a/", {}), route("again", "/a/", {})}});
+    config.hosts.push_back({"h", {route("further", "/b/", {})}});
+    const RouteTable table(std::move(config));
+    STRCMP_EQUAL("deep", table.find("h", "/a/b/c/")->name.value.c_str());
+    STRCMP_EQUAL("deep", table.find("h", "/a/b/c/d/e")->name.value.c_str());
+    STRCMP_EQUAL("middle", table.find("h", "/a/b/c")->name.value.c_str());
+    STRCMP_EQUAL("middle", table.find("h", "/a//b/")->name.value.c_str());
+    STRCMP_EQUAL("further", table.find("h", "/b/")->name.value.c_str());
+    POINTERS_EQUAL(nullptr, table.find("h", "/a"));
+    POINTERS_EQUAL(nullptr, table.find("h", "/"));
+    POINTERS_EQUAL(nullptr, table.find("h", ""));
+    POINTERS_EQUAL(nullptr, table.find("h", "*"));
+}
+
 TEST(RouteTable, keysIdentifyTheirWorkspace)
 {
     const RouteTable table = sampleTable();
--- a/src/routes/trafficconfig.h
+++ b/src/routes/trafficconfig.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/nametable.h"
 #include "model/ids.h"
 
 #include <cstdint>
@@ -16,12 +17,26 @@
     int weight = 1;
 };
 
+/// What may be done with the requests of a route.
+enum class RouteKind {
+    Idempotent, ///< May run more than once.
+    NonIdempotent, ///< Run at most once per attempt of the caller.
+    Upload, ///< Non-idempotent requests with large bodies.
+};
+
+inline constexpr auto RouteKindNames = makeNameTable<RouteKind, 3>({
+    {RouteKind::Idempotent, "idempotent"},
+    {RouteKind::NonIdempotent, "non-idempotent"},
+    {RouteKind::Upload, "upload"},
+});
+
 /// Destination and handling of the requests of one host and path prefix.
 struct TrafficRoute {
     RouteName name;
     std::string prefix; ///< Path prefix; begins and ends with a slash.
-    std::vector<WeightedService> services; ///< At least one.
-    bool idempotent = false; ///< The request may run more than once.
+    /// Empty if the destination could not be read; the requests are then refused as not run.
+    std::vector<WeightedService> services;
+    RouteKind kind = RouteKind::NonIdempotent;
     bool open = false; ///< No API key is required.
     int rank = 0; ///< Rank of importance; 0 is the most important and shed last.
     /// Maximum number of attempts of an idempotent request that may have run; refused and undelivered attempts do not
@@ -29,6 +44,11 @@
     int maxAttempts = 1;
     Duration timeout{0}; ///< Maximum time until the answer.
     Duration targetLatency{0}; ///< Latency objective; 0 if the route has none.
+
+    [[nodiscard]] bool isIdempotent() const
+    {
+        return kind == RouteKind::Idempotent;
+    }
 };
 
 struct HostRoutes {
@@ -43,6 +63,8 @@
     std::optional<int> rank; ///< Overrides the route's rank.
     double ratePerSecond = 0; ///< 0: no limit.
     double burst = 0; ///< Requests.
+    /// The name or the rate limit could not be read; requests with its keys are refused as not run.
+    bool suspended = false;
 };
 
 /// Size limits and timeouts for requests of callers.
