Keep and look up only the state of routes that are used

Each node planned over every route of the configuration four times a second, reported the work time of every route that it had ever seen, and kept their call statistics for ever: with a list of routes that grows to thousands, the work, the reports and the memory of every node grew with it. The plan now covers the routes that the reports name, and routes without requests are forgotten after a minute. The nodes of a service are found by an index instead of a scan of the fleet for each call, and a message between nodes is built in a buffer of the thread.

--- a/src/fleet/internal/nodedirectory.cpp
+++ b/src/fleet/internal/nodedirectory.cpp
@@ -43,12 +43,35 @@
         state.failureRatio = 0;
         state.avoidUntil = {};
     }
+    updateServiceIndex(state, entry.service);
     state.entry = entry;
 }
 
 void NodeDirectory::remove(const NodeName &node)
 {
-    m_nodes.erase(node);
+    const auto entry = m_nodes.find(node);
+    if (entry != m_nodes.end()) {
+        updateServiceIndex(entry->second, ServiceName());
+        m_nodes.erase(entry);
+    }
+}
+
+/// Moves the node to the list of the service; an empty name removes it from the lists.
+void NodeDirectory::updateServiceIndex(NodeState &state, const ServiceName &service)
+{
+    if (state.entry.service == service) {
+        return;
+    }
+    const auto previous = m_nodesByService.find(state.entry.service);
+    if (previous != m_nodesByService.end()) {
+        std::erase(previous->second, &state);
+        if (previous->second.empty()) {
+            m_nodesByService.erase(previous);
+        }
+    }
+    if (!service.empty()) {
+        m_nodesByService[service].push_back(&state);
+    }
 }
 
 bool NodeDirectory::recordReport(const NodeReport &report, TimePoint now)
@@ -100,8 +123,13 @@
     std::vector<NodeState *> ownZoneNodes;
     std::vector<NodeState *> otherZoneNodes;
     std::vector<NodeState *> avoided;
-    for (auto &[name, state] : m_nodes) {
-        if (state.entry.service != service || !state.entry.accepting || excluded.contains(name)) {
+    const auto nodes = m_nodesByService.find(service);
+    if (nodes == m_nodesByService.end()) {
+        return std::nullopt;
+    }
+    for (NodeState *node : nodes->second) {
+        const NodeState &state = *node;
+        if (!state.entry.accepting || excluded.contains(state.entry.node)) {
             continue;
         }
         const bool ownZone = state.entry.zone == m_ownZone;
@@ -110,7 +138,7 @@
         std::vector<NodeState *> &group = state.avoidUntil > now || reportsMissing ? avoided
             : ownZone                                                              ? ownZoneNodes
                                                                                    : otherZoneNodes;
-        group.push_back(&state);
+        group.push_back(node);
     }
     NodeState *best = lessLoadedOfTwo(ownZoneNodes, random, now);
     NodeState *other = lessLoadedOfTwo(otherZoneNodes, random, now);
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -41,6 +41,9 @@
 public:
     explicit NodeDirectory(ZoneName ownZone);
 
+    NodeDirectory(const NodeDirectory &) = delete;
+    NodeDirectory &operator=(const NodeDirectory &) = delete;
+
     void update(const NodeEntry &entry);
     void remove(const NodeName &node);
 
@@ -76,11 +79,13 @@
         TimePoint avoidUntil;
     };
 
+    void updateServiceIndex(NodeState &state, const ServiceName &service);
     NodeState *lessLoadedOfTwo(const std::vector<NodeState *> &candidates, IRandom &random, TimePoint now) const;
     [[nodiscard]] double load(const NodeState &state, TimePoint now) const;
 
     ZoneName m_ownZone;
     std::map<NodeName, NodeState> m_nodes;
+    std::map<ServiceName, std::vector<NodeState *>> m_nodesByService; ///< Entries of m_nodes.
 };
 
 } // namespace vanillatack
--- a/src/instance/internal/slotqueue.cpp
+++ b/src/instance/internal/slotqueue.cpp
@@ -166,6 +166,11 @@
     return entry == m_workSeconds.end() ? Duration{0} : fromSeconds(entry->second);
 }
 
+void SlotQueue::forgetWorkTime(const RouteName &route)
+{
+    m_workSeconds.erase(route);
+}
+
 Duration SlotQueue::estimatedWorkTime(const RouteName &route) const
 {
     const Duration measured = workTime(route);
--- a/src/instance/slotqueue.h
+++ b/src/instance/slotqueue.h
@@ -88,6 +88,9 @@
     /// Mean time for which a request of the route occupies a slot; 0 when none has finished yet.
     [[nodiscard]] Duration workTime(const RouteName &route) const;
 
+    /// Drops the mean of a route that is no longer used.
+    void forgetWorkTime(const RouteName &route);
+
 private:
     /// Priority of a queue, in serving order: inner calls first, then by rank.
     struct QueueKey {
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -36,6 +36,22 @@
 /// Smallest change of an admitted share, or of a pledged share of a rate, that is logged.
 constexpr double MinLoggedChange = 0.1;
 
+/// Returns the routes that the reports name. The configuration may have many more, which nobody uses.
+std::set<RouteName> reportedRoutes(const std::vector<NodeReport> &reports)
+{
+    std::set<RouteName> names;
+    for (const NodeReport &report : reports) {
+        for (const RouteLoad &load : report.loads) {
+            names.insert(load.route);
+        }
+        for (const CallEdge &edge : report.edges) {
+            names.insert(edge.caller);
+            names.insert(edge.callee);
+        }
+    }
+    return names;
+}
+
 } // namespace
 
 FleetControl::FleetControl(const NodeDependencies &dependencies, EgressProxy &egress, ITableStore &store)
@@ -287,25 +303,27 @@
 /// Computes and sets the admitted share of each route's root requests.
 void FleetControl::updateAdmittedShares()
 {
+    const std::vector<NodeReport> reports =
+        m_dependencies.directory.reports(reportLifetime(), m_dependencies.clock.now());
     RequestCost cost;
     std::map<RouteName, RootRoute> routes;
-    for (const HostRoutes &host : m_egress.routeTable().config().hosts) {
-        for (const TrafficRoute &route : host.routes) {
-            double totalWeight = 0;
-            for (const WeightedService &weighted : route.services) {
-                totalWeight += weighted.weight;
-            }
-            std::map<ServiceName, double> shares;
-            for (const WeightedService &weighted : route.services) {
-                shares[weighted.service] += totalWeight > 0 ? weighted.weight / totalWeight : 0;
-            }
-            cost.setRoute(route.name, shares);
-            routes[route.name].route = route.name;
-            routes[route.name].rank = route.rank;
+    for (const RouteName &name : reportedRoutes(reports)) {
+        const TrafficRoute *route = m_egress.routeTable().findByName(name);
+        if (route == nullptr) {
+            continue;
         }
+        double totalWeight = 0;
+        for (const WeightedService &weighted : route->services) {
+            totalWeight += weighted.weight;
+        }
+        std::map<ServiceName, double> shares;
+        for (const WeightedService &weighted : route->services) {
+            shares[weighted.service] += totalWeight > 0 ? weighted.weight / totalWeight : 0;
+        }
+        cost.setRoute(name, shares);
+        routes[name].route = name;
+        routes[name].rank = route->rank;
     }
-    const std::vector<NodeReport> reports =
-        m_dependencies.directory.reports(reportLifetime(), m_dependencies.clock.now());
     m_capacityCorrection.update(reports, m_saturatedServices);
     for (const NodeReport &report : reports) {
         cost.addReport(report);
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -26,6 +26,9 @@
 constexpr Duration AnswerMargin = std::chrono::milliseconds(5);
 /// How often the queue is checked for calls that have waited too long or may start.
 constexpr Duration QueueCheckInterval = std::chrono::milliseconds(20);
+/// Time after its last request for which a route's work time is kept and reported. Of a long list of routes, few are
+/// used at a time.
+constexpr Duration RouteMemory = std::chrono::seconds(60);
 constexpr int StatusMisdirectedRequest = 421;
 /// Slots that are used until the first answer: only answers tell whether the instance limits its request rate, and this
 /// node may have started beside an instance that does.
@@ -403,14 +406,22 @@
     });
 }
 
-std::vector<RouteLoad> IngressProxy::workTimes() const
+std::vector<RouteLoad> IngressProxy::workTimes()
 {
+    const TimePoint now = m_clock.now();
     std::vector<RouteLoad> loads;
-    for (const auto &[route, lastSeenAt] : m_routeLastSeenAt) {
+    for (auto entry = m_routeLastSeenAt.begin(); entry != m_routeLastSeenAt.end();) {
+        const RouteName &route = entry->first;
+        if (now - entry->second > RouteMemory) {
+            m_slotQueue.forgetWorkTime(route);
+            entry = m_routeLastSeenAt.erase(entry);
+            continue;
+        }
         const Duration work = m_slotQueue.workTime(route);
         if (work > Duration{0}) {
             loads.push_back({route, 0, toSeconds(work)});
         }
+        ++entry;
     }
     return loads;
 }
--- a/src/proxy/internal/ingressproxy.h
+++ b/src/proxy/internal/ingressproxy.h
@@ -54,8 +54,9 @@
         return m_calls.size();
     }
 
-    /// Mean work time in seconds of each route that has run at the local instance; offeredPerSecond is left 0.
-    [[nodiscard]] std::vector<RouteLoad> workTimes() const;
+    /// Mean work time in seconds of each route that has run recently at the local instance; offeredPerSecond is left 0.
+    /// Forgets the other routes.
+    [[nodiscard]] std::vector<RouteLoad> workTimes();
 
     CallGraph &callGraph()
     {
--- a/src/rootadmission/callgraph.h
+++ b/src/rootadmission/callgraph.h
@@ -24,6 +24,12 @@
     /// Mean calls per request, for the pairs of caller and callee with enough observations.
     [[nodiscard]] std::vector<CallEdge> edges() const;
 
+    /// Number of routes that are running or have run recently.
+    [[nodiscard]] std::size_t callers() const
+    {
+        return m_callers.size();
+    }
+
 private:
     struct Caller {
         int running = 0;
--- a/src/rootadmission/internal/callgraph.cpp
+++ b/src/rootadmission/internal/callgraph.cpp
@@ -17,6 +17,9 @@
 /// Assumed call rate of a pair without observations, in calls per running request and second; small compared to real
 /// rates.
 constexpr double PriorRate = 0.05;
+/// Completed requests below which an idle route is forgotten. The list of routes may be long, and each may be used
+/// once.
+constexpr double MinRememberedRequests = 0.1;
 /// Weight of the assumed rate: the running time of requests, in seconds, for which it counts as observed.
 constexpr double PriorSeconds = 0.5;
 
@@ -35,6 +38,9 @@
             calls *= decay;
         }
     }
+    std::erase_if(m_callers, [](const auto &entry) {
+        return entry.second.running == 0 && entry.second.completed < MinRememberedRequests;
+    });
 }
 
 void CallGraph::begin(const RouteName &route, TimePoint now)
--- a/src/rootadmission/tests/rootadmission_tests.cpp
+++ b/src/rootadmission/tests/rootadmission_tests.cpp
@@ -64,6 +64,24 @@
 
 TEST_GROUP(CallGraph){};
 
+// The operator's list of routes may be long; each route that was used once must not be kept for ever.
+TEST(CallGraph, forgetsRoutesThatAreNoLongerUsed)
+{
+    CallGraph graph;
+    TimePoint now = Start;
+    for (int index = 0; index < 2000; ++index) {
+        const RouteName route("route-" + std::to_string(index));
+        graph.begin(route, now);
+        graph.end(route, now + 10ms);
+        now += 100ms;
+    }
+    CHECK(graph.callers() < 600);
+    graph.begin(RouteName("running"), now);
+    now += 300s;
+    graph.begin(Lookup, now);
+    LONGS_EQUAL(2, graph.callers());
+}
+
 TEST(CallGraph, attributesCallsToTheRightOneOfTwoOverlappingRoutes)
 {
     // Two routes share an instance and always overlap: each lookup makes two calls, file makes none.
--- a/src/routes/internal/routetable.cpp
+++ b/src/routes/internal/routetable.cpp
@@ -16,6 +16,7 @@
         for (const TrafficRoute &route : host.routes) {
             index.routes.emplace(route.prefix, &route);
             index.longestPrefix = std::max(index.longestPrefix, route.prefix.size());
+            m_names[route.name.value] = &route;
         }
     }
     for (const TrafficWorkspace &workspace : m_config.workspaces) {
@@ -44,6 +45,12 @@
     return nullptr;
 }
 
+const TrafficRoute *RouteTable::findByName(const RouteName &name) const
+{
+    const auto entry = m_names.find(name.value);
+    return entry == m_names.end() ? nullptr : entry->second;
+}
+
 const TrafficWorkspace *RouteTable::workspaceOf(std::string_view key) const
 {
     const auto entry = m_keys.find(asAbsl(key));
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -26,6 +26,9 @@
     /// with the same prefix, the first one is found.
     [[nodiscard]] const TrafficRoute *find(std::string_view host, std::string_view target) const;
 
+    /// The route with the name, or nullptr.
+    [[nodiscard]] const TrafficRoute *findByName(const RouteName &name) const;
+
     /// The workspace to which the API key belongs, or nullptr.
     [[nodiscard]] const TrafficWorkspace *workspaceOf(std::string_view key) const;
 
@@ -46,6 +49,7 @@
 
     TrafficConfig m_config;
     absl::flat_hash_map<std::string, HostIndex> m_hosts;
+    absl::flat_hash_map<std::string, const TrafficRoute *> m_names;
     absl::flat_hash_map<std::string, const TrafficWorkspace *> m_keys;
     std::map<RouteName, std::vector<int>> m_splitCredits; ///< State of smooth weighted round robin.
 };
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -10,6 +10,7 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <array>
 #include <cstring>
 
 namespace vanillatack {
@@ -136,6 +137,14 @@
                      "Check that all nodes run compatible versions.");
 }
 
+/// First segment of the messages of a thread. Most fit into it, and the builder clears only what a message has used.
+kj::ArrayPtr<capnp::word> scratchSegment()
+{
+    constexpr std::size_t ScratchWords = 1024;
+    thread_local std::array<capnp::word, ScratchWords> words{};
+    return kj::arrayPtr(words.data(), words.size());
+}
+
 void build(capnp::MallocMessageBuilder &message, const Frame &frame)
 {
     auto root = message.initRoot<schema::Frame>();
@@ -150,7 +159,7 @@
 
 std::string encodeFrame(const Frame &frame)
 {
-    capnp::MallocMessageBuilder message;
+    capnp::MallocMessageBuilder message(scratchSegment());
     build(message, frame);
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
@@ -177,7 +186,7 @@
 
 std::string encodePackedFrame(const Frame &frame)
 {
-    capnp::MallocMessageBuilder message;
+    capnp::MallocMessageBuilder message(scratchSegment());
     build(message, frame);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
