Take no requests late in a long grace period, and tell instances how much time a stop leaves

In a planned stop, requests were taken for 0.47 of the grace period: 4.7 s of the 10 s of the large deployment. Callers use other nodes after 2.6 s, and a request of that deployment may run for 12 s, so that one taken late was still running when the process ended, and its caller got no answer, not even for one that may not be repeated. Requests are now taken for 2.85 s at the most, and those taken during the stop are passed on with the time that it leaves: an instance that cannot finish in time answers so. Both tests fail on the code before.

--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -52,6 +52,11 @@
     m_refusingNewRequests = true;
 }
 
+void EgressProxy::limitDeadlines(TimePoint latest)
+{
+    m_latestDeadline = latest;
+}
+
 std::map<RouteName, int> EgressProxy::popOfferedCounts()
 {
     return std::exchange(m_offeredCounts, {});
@@ -128,7 +133,7 @@
         left = std::min(left,
                         std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(callerLeftMs)));
     }
-    request.deadline = now + left;
+    request.deadline = std::min(now + left, m_latestDeadline);
     if (route->services.empty()) {
         return makeRejection(request, 503, RefusalKind::NotReady);
     }
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -72,6 +72,9 @@
 
     void refuseNewRequests();
 
+    /// Ends the time limit of requests received from now on at the given time at the latest.
+    void limitDeadlines(TimePoint latest);
+
 private:
     struct Request {
         ExchangeId exchange;
@@ -132,6 +135,7 @@
     RouteTable m_routeTable;
     StoreFreshness m_freshness;
     bool m_refusingNewRequests = false;
+    TimePoint m_latestDeadline = TimePoint::max();
     std::uint64_t m_lastRequestId = 0;
     std::map<RequestId, Request> m_requests;
     std::map<ExchangeId, RequestId> m_exchanges;
--- a/src/proxy/internal/shutdownplan.cpp
+++ b/src/proxy/internal/shutdownplan.cpp
@@ -1,5 +1,7 @@
 #include "proxy/internal/shutdownplan.h"
 
+#include <algorithm>
+
 namespace vanillatack {
 
 namespace {
@@ -12,6 +14,11 @@
 /// Share of the grace period after which new requests are refused. The remainder is left for the accepted requests, the
 /// slowest of which take seconds.
 constexpr double AcceptRequestsShare = 0.47;
+/// Latest time at which new requests are taken, also in a long grace period. Callers use other nodes by then, and what
+/// comes later could still be running at the end.
+constexpr Duration MaxAcceptRequestsTime = std::chrono::milliseconds(2850);
+/// Time before the exit at which the instances that run requests taken during the shutdown must have answered.
+constexpr Duration AnswerReturnTime = std::chrono::milliseconds(150);
 /// Time before the end of the grace period at which the process exits even if it is not idle.
 constexpr Duration ExitMargin = std::chrono::milliseconds(350);
 
@@ -29,7 +36,13 @@
 
 bool ShutdownPlan::acceptsRequests(Duration elapsed) const
 {
-    return elapsed <= m_grace * AcceptRequestsShare;
+    return elapsed <= std::min<Duration>(std::chrono::duration_cast<Duration>(m_grace * AcceptRequestsShare),
+                                         MaxAcceptRequestsTime);
+}
+
+Duration ShutdownPlan::requestTimeLimit() const
+{
+    return std::max(m_grace - ExitMargin - AnswerReturnTime, Duration{0});
 }
 
 bool ShutdownPlan::shouldExit(Duration elapsed, bool idle) const
--- a/src/proxy/internal/shutdownplan.h
+++ b/src/proxy/internal/shutdownplan.h
@@ -17,6 +17,11 @@
     /// Whether requests of callers are still accepted.
     [[nodiscard]] bool acceptsRequests(Duration elapsed) const;
 
+    /// Time from the start of the shutdown until which requests taken meanwhile must be answered. It is passed to the
+    /// instances as their time limit: an instance that cannot finish in time says so, whereas the exit would cut the
+    /// request off without an answer.
+    [[nodiscard]] Duration requestTimeLimit() const;
+
     /// Whether the process should exit now.
     [[nodiscard]] bool shouldExit(Duration elapsed, bool idle) const;
 
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -323,6 +323,7 @@
     m_shutdownCompletion = std::move(done);
     m_shutdownStartedAt = m_clock.now();
     m_server->startDraining();
+    m_egress.limitDeadlines(m_shutdownStartedAt + ShutdownPlan(m_settings.shutdownGrace).requestTimeLimit());
     m_control.leave();
     checkShutdown();
 }
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -538,6 +538,21 @@
     }));
 }
 
+// Guards against requests that are taken during a planned stop and cut off without an answer at its end (LOST).
+TEST(TrafficNode, requestsTakenDuringAShutdownGetNoMoreTimeThanItHas)
+{
+    bringUp();
+    ProxySettings settings;
+    settings.shutdownGrace = 4s;
+    settings.keyGrace = 100s;
+    nearNode->updateSettings(settings);
+    nearNode->shutDown([] {});
+    LONGS_EQUAL(200, send("POST", "/write/7", {{"Key", "k1"}, {"Time-Left", "20000"}}).response.status);
+    const int timeLeft = std::stoi(farInstance.requests.back().header("Time-Left"));
+    CHECK(timeLeft < 4000);
+    CHECK(timeLeft > 0);
+}
+
 TEST(TrafficNode, shutdownFinishesRequestsInFlight)
 {
     bringUp();
--- a/src/proxy/tests/shutdownplan_tests.cpp
+++ b/src/proxy/tests/shutdownplan_tests.cpp
@@ -17,6 +17,17 @@
     CHECK(!plan.acceptsRequests(3s));
 }
 
+// Guards against requests that are taken late in a long grace period and cut off without an answer at its end (LOST).
+TEST(ShutdownPlan, aLongGracePeriodDoesNotExtendTheTimeInWhichRequestsAreTaken)
+{
+    const ShutdownPlan longPlan{10s};
+    CHECK(longPlan.acceptsRequests(2700ms));
+    CHECK(!longPlan.acceptsRequests(3s));
+    CHECK(longPlan.requestTimeLimit() > 9s);
+    CHECK(!longPlan.shouldExit(longPlan.requestTimeLimit(), false));
+    CHECK(ShutdownPlan{100ms}.requestTimeLimit() == 0s);
+}
+
 TEST(ShutdownPlan, acceptsRequestsUntilCallersUseOtherNodes)
 {
     CHECK(plan.acceptsRequests(2600ms)); // Callers stop after two failed readiness checks.
