Limit the bodies that a node holds to a share of its memory

Requests and responses of callers could take 96 MiB and each response of an instance 64 MiB, on VMs with 160 MB; calls of other nodes had no limit. A request whose body does not fit is refused with 503 before its body is read, a call is refused as not run, and a response that exceeds what is left is cut off, each with a log line. A body is moved, not copied, from the connection of the caller into the call and from the call into the request to the instance.

--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -30,6 +30,8 @@
     /// Maximum idle time; a shorter timeout in the server's Keep-Alive header, less 1 s, takes precedence.
     Duration idleLifetime = std::chrono::seconds(8);
     std::size_t maxBodyBytes = std::size_t{64} << 20; ///< Longer responses end as Broken.
+    /// Bytes of the bodies of all responses that are being received. A response that exceeds them ends as Broken.
+    std::size_t maxTotalBodyBytes = std::size_t{256} << 20;
     std::size_t maxIdle = 256; ///< Idle connections kept per server.
 };
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -17,7 +17,8 @@
     /// Above this number the longest idle connections are closed. Leaves a quarter of the 4,100 file descriptors of a
     /// small VM free.
     std::size_t connections = 3000;
-    /// Bytes of requests and responses in memory, for all callers together; requests beyond it are answered with 503.
+    /// Bytes of requests and responses in memory, for all callers together; requests beyond it are answered with 503,
+    /// before their body is read if its length is known.
     std::size_t bufferedBytes = std::size_t{96} << 20;
     /// The time limit for receiving a request, head and body, is headTimeout + idleTimeout from its first byte.
     Duration headTimeout = std::chrono::seconds(3);
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "net/httpclient.h"
 
+#include "base/log.h"
 #include "net/internal/receivebuffer.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -23,6 +24,7 @@
 using boost::system::error_code;
 using Tcp = asio::ip::tcp;
 
+constexpr Log ClientLog("http");
 constexpr std::uint32_t MaxHeadBytes = 32768;
 /// The kernel closes a connection whose sent bytes stay unacknowledged for this time.
 constexpr Duration TcpUserTimeout = std::chrono::seconds(3);
@@ -51,6 +53,7 @@
     bool sent = false; ///< A byte of the request may have reached the server.
     bool writing = false;
     bool headRequest = false;
+    std::size_t bodyBytes = 0; ///< Received bytes of the body; this connection's part of m_bodyBytes.
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -95,6 +98,7 @@
     void connect(const ConnectionPointer &connection);
     void write(const ConnectionPointer &connection);
     void prepareParser(Connection &connection) const;
+    void setBodyBytes(Connection &connection, std::size_t bytes);
     static bool isStale(const Connection &connection);
     void read(const ConnectionPointer &connection);
     void onBytes(const ConnectionPointer &connection);
@@ -111,6 +115,7 @@
     SystemClock m_clock;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_opened = 0;
+    std::size_t m_bodyBytes = 0; ///< Received bytes of the bodies of all responses that are not complete.
     absl::flat_hash_map<ClientCallId, ConnectionPointer> m_calls;
     absl::flat_hash_map<Endpoint, std::vector<ConnectionPointer>> m_idle;
 };
@@ -269,6 +274,15 @@
     while (connection->call.value != 0 && connection->input.size() > 0) {
         error_code error;
         connection->input.consume(connection->parser->put(connection->input.data(), error));
+        setBodyBytes(*connection, connection->parser->get().body().size());
+        if (m_bodyBytes > m_settings.maxTotalBodyBytes) {
+            ClientLog.warning("Responses in memory exceed " + std::to_string(m_settings.maxTotalBodyBytes)
+                                  + " bytes; one is cut off. Check the sizes of the server's responses.",
+                              {{"server", connection->server.text()}, {"bytes", std::to_string(m_bodyBytes)}});
+            close(connection);
+            complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
+            return;
+        }
         if (error == http::error::need_more) {
             return;
         }
@@ -351,6 +365,12 @@
     return std::min<Duration>(m_settings.idleLifetime, std::chrono::seconds(seconds) - IdleMargin);
 }
 
+void HttpClient::setBodyBytes(Connection &connection, std::size_t bytes)
+{
+    m_bodyBytes += bytes - connection.bodyBytes;
+    connection.bodyBytes = bytes;
+}
+
 /// Ends the call of the connection and returns its completion; empty if the call was cancelled.
 ClientCompletion HttpClient::popCompletion(const ConnectionPointer &connection)
 {
@@ -360,6 +380,7 @@
     m_loop.cancel(connection->timer);
     connection->timer = 0;
     connection->call = {};
+    setBodyBytes(*connection, 0);
     if (!connection->writing) {
         connection->output = {};
     }
@@ -403,6 +424,7 @@
     m_loop.cancel(connection->timer);
     connection->call = {};
     connection->completion = nullptr;
+    setBodyBytes(*connection, 0);
     close(connection);
 }
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -152,6 +152,7 @@
     void onBytes(const ConnectionPointer &connection, std::size_t bytes);
     void parse(const ConnectionPointer &connection);
     void parseRequests(const ConnectionPointer &connection);
+    static std::size_t missingBodyBytes(const Connection &connection);
     static bool isClosedByCaller(Connection &connection);
     bool dispatchRequest(const ConnectionPointer &connection);
     void refuse(const ConnectionPointer &connection, int status);
@@ -325,10 +326,11 @@
             return;
         }
         updateBufferedBytes(*connection);
-        if (m_bufferedBytes > m_limits.bufferedBytes) {
+        if (m_bufferedBytes + missingBodyBytes(*connection) > m_limits.bufferedBytes) {
             ServerLog.warning("Requests and responses in memory exceed " + std::to_string(m_limits.bufferedBytes)
                                   + " bytes; a request of " + connection->peerAddress + " is refused with 503.",
-                              {{"bytes", std::to_string(m_bufferedBytes)}});
+                              {{"bytes", std::to_string(m_bufferedBytes)},
+                               {"missing", std::to_string(missingBodyBytes(*connection))}});
             refuse(connection, 503);
             return;
         }
@@ -347,6 +349,15 @@
     }
 }
 
+/// Bytes of the body that have not been received yet, as far as its length is known.
+std::size_t HttpServer::missingBodyBytes(const Connection &connection)
+{
+    if (!connection.parser || !connection.parser->is_header_done() || connection.parser->is_done()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(connection.parser->content_length_remaining().value_or(0));
+}
+
 /// Returns whether the caller has already closed its side. Its request may have waited for long before it was read.
 bool HttpServer::isClosedByCaller(Connection &connection)
 {
@@ -390,6 +401,9 @@
     connection->closeRequested = true;
     Exchange exchange;
     exchange.response.emplace().status = status;
+    if (status == 503) {
+        exchange.response->headers.emplace_back("Retry-After", "1");
+    }
     connection->exchanges.push_back(std::move(exchange));
     sendNext(connection);
 }
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -317,6 +317,18 @@
     STRCMP_CONTAINS("200", exchange("GET /3 HTTP/1.1\r\nHost: x\r\n\r\n").c_str());
 }
 
+TEST(HttpServer, refusesABodyThatDoesNotFitBeforeReadingIt)
+{
+    server->setLimits({.bodyBytes = 1 << 20, .bufferedBytes = 100'000});
+    RawConnection connection(loop, server->port());
+    connection.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n");
+    const std::string answer = connection.readUntil("\r\n\r\n");
+    STRCMP_CONTAINS("503", answer.c_str());
+    STRCMP_CONTAINS("Retry-After: 1", answer.c_str());
+    STRCMP_CONTAINS("Connection: close", answer.c_str());
+    LONGS_EQUAL(0, listener.exchanges.size());
+}
+
 TEST(HttpServer, detectsAClosedConnectionWhileItsRequestRuns)
 {
     listener.automatic = false;
@@ -501,6 +513,43 @@
     }
 }
 
+// Guards against memory that grows with the number of servers that send large bodies at the same time.
+TEST(HttpClient, bodiesThatTogetherExceedTheMemoryAreCutOff)
+{
+    client = makeHttpClient(loop, {.maxTotalBodyBytes = 100'000});
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 60000\r\n\r\n";
+    send();
+    RawConnection first = accept();
+    send();
+    RawConnection second = accept();
+    first.send(head + std::string(59'999, 'x'));
+    loop.context().restart();
+    loop.context().run_for(50ms);
+    second.send(head + std::string(59'999, 'y'));
+    CHECK(waitForResult(1).outcome == ClientOutcome::Broken);
+    first.send("x");
+    CHECK(waitForResult(2).outcome == ClientOutcome::Complete);
+    LONGS_EQUAL(60'000, results.back().response.body.size());
+    // The bytes of both are free again. The first connection is used once more.
+    send();
+    first.send(head + std::string(60'000, 'z'));
+    CHECK(waitForResult(3).outcome == ClientOutcome::Complete);
+}
+
+// Guards against a success without the instance's body because its connection ended within the head.
+TEST(HttpClient, aHeadThatEndsInTheMiddleIsBroken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        const std::size_t before = results.size();
+        send();
+        RawConnection connection = accept();
+        connection.send(head.substr(0, length));
+        connection.close();
+        CHECK(waitForResult(before + 1).outcome == ClientOutcome::Broken);
+    }
+}
+
 // Guards against interim responses or responses of earlier requests that never end.
 TEST(HttpClient, responsesOfOtherRequestsWithoutEndAreCutOffByTheTimeout)
 {
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -37,7 +37,8 @@
     m_routeTable = std::move(table);
     const CallerLimits &limits = m_routeTable.config().limits;
     m_server->setLimits({.headBytes = limits.maxHeadBytes,
-                         .bodyBytes = limits.maxBodyBytes,
+                         .bodyBytes = std::min(limits.maxBodyBytes, m_dependencies.settings.bodyBudgetBytes),
+                         .bufferedBytes = m_dependencies.settings.bodyBudgetBytes,
                          .headTimeout = limits.headTimeout,
                          .idleTimeout = limits.idleTimeout});
     std::map<WorkspaceName, RateLimit> rates;
@@ -78,7 +79,7 @@
         reject(request, *rejection);
         return;
     }
-    prepareCall(http, request);
+    prepareCall(std::move(http), request);
     const RequestId id{++m_lastRequestId};
     request.deadlineTimer = m_dependencies.loop.callAfter(request.deadline - request.receivedAt, [this, id] {
         onTimeout(id);
@@ -210,7 +211,8 @@
     return std::nullopt;
 }
 
-void EgressProxy::prepareCall(const HttpRequest &http, Request &request) const
+/// Takes the headers and the body of the request.
+void EgressProxy::prepareCall(HttpRequest http, Request &request) const
 {
     const HeaderNames &names = m_dependencies.settings.headers;
     CallRequest &call = request.call;
@@ -221,11 +223,12 @@
     call.rank = request.rank;
     call.depth = request.innerCall ? 1 : 0;
     call.idempotent = request.idempotent;
-    call.method = http.method;
-    call.target = http.target;
-    call.body = http.body;
-    std::vector<std::string> connectionHeaders = absl::StrSplit(http.header("Connection"), absl::ByAnyChar(", "));
-    for (const auto &[name, value] : http.headers) {
+    const std::vector<std::string> connectionHeaders = absl::StrSplit(http.header("Connection"), absl::ByAnyChar(", "));
+    call.method = std::move(http.method);
+    call.target = std::move(http.target);
+    call.body = std::move(http.body);
+    call.headers.reserve(http.headers.size() + 2);
+    for (auto &[name, value] : http.headers) {
         const bool dropped = isHopByHopHeader(name) || sameHeader(name, names.key) || sameHeader(name, names.workspace)
             || sameHeader(name, names.callerService) || sameHeader(name, names.expectedInstance)
             || sameHeader(name, names.timeLeft)
@@ -235,7 +238,7 @@
                                return sameHeader(option, name);
                            });
         if (!dropped) {
-            call.headers.emplace_back(name, value);
+            call.headers.emplace_back(std::move(name), std::move(value));
         }
     }
     call.headers.emplace_back(names.callerService, m_dependencies.settings.service.value);
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -109,7 +109,7 @@
 
     std::optional<Rejection> validate(const HttpRequest &http, Request &request);
     std::optional<Rejection> authenticate(const HttpRequest &http, const TrafficRoute &route, Request &request);
-    void prepareCall(const HttpRequest &http, Request &request) const;
+    void prepareCall(HttpRequest http, Request &request) const;
     void onTokenOutcome(RequestId id, TokenOutcome outcome, Duration expectedWait);
     void admit(RequestId id);
     void reject(const Request &request, const Rejection &rejection);
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -65,7 +65,7 @@
     , m_settings(settings)
     , m_decisions(decisions)
     , m_metrics(metrics)
-    , m_client(makeHttpClient(loop, {}))
+    , m_client(makeHttpClient(loop, {.maxTotalBodyBytes = settings.bodyBudgetBytes}))
     , m_instance(settings.service, settings.instanceEndpoint, settings.announceInterval * AnnouncementTimeoutIntervals)
 {
 }
@@ -83,6 +83,8 @@
     call.request = std::move(request);
     call.completion = std::move(completion);
     call.deadline = now + call.request.deadlineLeft;
+    call.bodyBytes = call.request.body.size();
+    m_bodyBytes += call.bodyBytes;
     const CallRequest &stored = m_calls.emplace(ticket, std::move(call)).first->second.request;
     const bool isExpectedInstance =
         m_instance.current() && (stored.instance.empty() || stored.instance == m_instance.current()->id);
@@ -90,6 +92,10 @@
         refuse(ticket, m_refusingNewCalls ? RefusalKind::Draining : RefusalKind::NoInstance, Duration{0});
         return ticket;
     }
+    if (m_bodyBytes > m_settings.bodyBudgetBytes) {
+        refuse(ticket, RefusalKind::Overloaded, Duration{0});
+        return ticket;
+    }
     m_routeLastSeenAt[stored.route] = now;
     SlotRequest slotRequest;
     slotRequest.ticket = ticket;
@@ -127,7 +133,8 @@
                                        });
 }
 
-HttpRequest IngressProxy::upstreamRequest(const Call &call, Duration timeLeft) const
+/// Takes the body of the call, which is sent once.
+HttpRequest IngressProxy::upstreamRequest(Call &call, Duration timeLeft) const
 {
     HttpRequest request;
     request.method = call.request.method;
@@ -135,7 +142,7 @@
     request.headers = call.request.headers;
     request.headers.emplace_back(m_settings.headers.timeLeft, millisecondsText(timeLeft));
     request.headers.emplace_back(m_settings.headers.expectedInstance, m_instance.current()->id);
-    request.body = call.request.body;
+    request.body = std::move(call.request.body);
     return request;
 }
 
@@ -272,9 +279,18 @@
     m_slotQueue.setSlots(m_instanceAnswered ? slots : std::min(slots, SlotsBeforeFirstAnswer));
 }
 
+IngressProxy::CallNode IngressProxy::popCall(TicketId ticket)
+{
+    CallNode call = m_calls.extract(ticket);
+    if (!call.empty()) {
+        m_bodyBytes -= call.mapped().bodyBytes;
+    }
+    return call;
+}
+
 void IngressProxy::release(TicketId ticket, bool answerComplete)
 {
-    const auto call = m_calls.extract(ticket);
+    const auto call = popCall(ticket);
     const TimePoint now = m_clock.now();
     if (!call.empty() && call.mapped().started) {
         m_callGraph.end(call.mapped().request.route, now);
@@ -289,7 +305,7 @@
 
 void IngressProxy::refuse(TicketId ticket, RefusalKind kind, Duration expectedWait)
 {
-    const auto call = m_calls.extract(ticket);
+    const auto call = popCall(ticket);
     if (call.empty()) {
         return;
     }
@@ -326,7 +342,7 @@
     call.completion = nullptr;
     if (!call.started) {
         m_slotQueue.cancel(ticket);
-        m_calls.erase(entry);
+        popCall(ticket);
         return;
     }
     if (call.request.idempotent) {
--- a/src/proxy/internal/ingressproxy.h
+++ b/src/proxy/internal/ingressproxy.h
@@ -69,20 +69,24 @@
         IngressCompletion completion; ///< Empty for an abandoned call.
         TimePoint deadline;
         ClientCallId upstreamCall;
+        std::size_t bodyBytes = 0; ///< Size of the request's body, which is gone once the call is sent.
         bool started = false;
     };
 
+    using CallNode = std::map<TicketId, Call>::node_type;
+
     void start(TicketId ticket);
     void onUpstreamResult(TicketId ticket, ClientResult result);
     CallReply classify(const Call &call, ClientResult result);
     void recordLeaving(const HeaderList &headers);
     void recordRequestLimit(const HeaderList &headers, bool answered);
     void updateSlots();
+    CallNode popCall(TicketId ticket);
     void release(TicketId ticket, bool answerComplete);
     void refuse(TicketId ticket, RefusalKind kind, Duration expectedWait);
     void refuseQueued(RefusalKind kind);
     void scheduleQueueCheck();
-    HttpRequest upstreamRequest(const Call &call, Duration timeLeft) const;
+    HttpRequest upstreamRequest(Call &call, Duration timeLeft) const;
 
     EventLoop &m_loop;
     const IClock &m_clock;
@@ -98,6 +102,7 @@
     bool m_queueCheckScheduled = false;
     std::uint64_t m_lastTicket = 0;
     std::map<TicketId, Call> m_calls;
+    std::size_t m_bodyBytes = 0; ///< Sum of the bodyBytes of all calls.
     std::map<RouteName, TimePoint> m_routeLastSeenAt;
 };
 
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -20,6 +20,8 @@
 /// Time-out of a hanging test. Far longer than any step takes, so that no result depends on speed.
 constexpr Duration HangLimit = 60s;
 
+constexpr std::size_t BodyBudgetBytes = 200'000;
+
 /// The system clock with simulated suspension of the VM.
 class SuspendableClock final : public IClock
 {
@@ -208,6 +210,7 @@
         settings.logDescriptor = logDescriptor;
         settings.keyGrace = 100s;
         settings.announceInterval = 100s;
+        settings.bodyBudgetBytes = BodyBudgetBytes;
         callerEndpointOut = settings.callerEndpoint;
         return makeTrafficNode(loop, clock, random, store, metrics.metrics(), settings);
     }
@@ -275,9 +278,11 @@
         farInstance.exchanges.clear();
     }
 
-    ClientCallId start(const std::string &method, const std::string &target, HeaderList headers = {})
+    ClientCallId start(
+        const std::string &method, const std::string &target, HeaderList headers = {}, std::string body = {})
     {
         HttpRequest request;
+        request.body = std::move(body);
         request.method = method;
         request.target = target;
         request.headers = {{"Host", "shop"}, {"Attempt", "a" + std::to_string(++attempts)}};
@@ -553,6 +558,37 @@
     CHECK(timeLeft > 0);
 }
 
+// Guards against a node that is killed because the bodies of many calls together exceed its memory.
+TEST(TrafficNode, refusesCallsWhoseBodiesTogetherExceedTheBudget)
+{
+    bringUp();
+    results.clear();
+    farInstance.unresponsive = true;
+    for (int index = 0; index < 3; ++index) {
+        start("POST", "/write/7", {{"Key", "k1"}}, std::string(BodyBudgetBytes / 2 - 1000, 'b'));
+        CHECK(runUntil([&] {
+            return farInstance.exchanges.size() + results.size() == static_cast<std::size_t>(index) + 1;
+        }));
+    }
+    LONGS_EQUAL(2, farInstance.exchanges.size());
+    LONGS_EQUAL(503, results.back().response.status);
+    for (int index = 0; index < 2; ++index) {
+        HttpResponse response = FakeInstance::success();
+        response.headers.emplace_back("Attempt", farInstance.requests.at(index).header("Attempt"));
+        farInstance.server->respond(farInstance.exchanges.at(index), response);
+        CHECK(runUntil([&] {
+            return results.size() == static_cast<std::size_t>(index) + 2;
+        }));
+        LONGS_EQUAL(200, results.back().response.status);
+    }
+    farInstance.unresponsive = false;
+    start("POST", "/write/7", {{"Key", "k1"}}, std::string(BodyBudgetBytes - 1000, 'b'));
+    CHECK(runUntil([&] {
+        return results.size() == 4;
+    }));
+    LONGS_EQUAL(200, results.back().response.status);
+}
+
 TEST(TrafficNode, shutdownFinishesRequestsInFlight)
 {
     bringUp();
