Grant no token of a limited rate before the other nodes are known

After a restart of all nodes of a fleet, each of them granted tokens on its own until its second report interval: it knew no other node and took itself for the owner of every rate. A node now refuses these requests as not run until it has read the registry, and looks for it every 50 ms instead of every 250 ms. The test of 80 restarted nodes fails on the code before.

--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -14,6 +14,8 @@
 /// Limit of the reports that a node sends per second to all nodes of its zone; larger zones report less often.
 constexpr double MaxReportsPerSecond = 120;
 constexpr Duration MinReportInterval = std::chrono::milliseconds(250);
+/// Interval until the registry has been read. Requests of workspaces with a rate limit are refused until then.
+constexpr Duration StartupTickInterval = std::chrono::milliseconds(50);
 /// A bundle is one datagram and must stay far below the maximum datagram size.
 constexpr std::size_t MaxReportsPerBundle = 8;
 /// Reports are used for plans for this time, or for ReportLifetimeIntervals report intervals if that is longer.
@@ -164,7 +166,7 @@
     removeUnresponsiveNodes();
     m_dependencies.decisions.logOmittedCounts();
     setGauges(report);
-    m_dependencies.loop.callAfter(reportInterval(), [this] {
+    m_dependencies.loop.callAfter(m_registry.loaded() ? reportInterval() : StartupTickInterval, [this] {
         tick();
     });
 }
@@ -369,6 +371,9 @@
 /// a recent report finds unresponsive.
 void FleetControl::updateRateLimiter()
 {
+    if (!m_registry.loaded()) {
+        return; // The other nodes are not known yet.
+    }
     const TimePoint now = m_dependencies.clock.now();
     std::set<NodeName> registered;
     std::set<NodeName> candidates;
--- a/src/rootadmission/internal/workspaceratelimiter.cpp
+++ b/src/rootadmission/internal/workspaceratelimiter.cpp
@@ -61,6 +61,10 @@
         completion(TokenOutcome::Granted, {});
         return;
     }
+    if (!m_ownersKnown) {
+        completion(TokenOutcome::OwnerUnresponsive, {});
+        return;
+    }
     WorkspaceState &workspace = entry->second;
     if (workspace.refunded > 0) {
         --workspace.refunded;
@@ -246,6 +250,7 @@
                                   std::vector<NodeReachability> reachability,
                                   TimePoint now)
 {
+    m_ownersKnown = true;
     m_unresponsive.clear();
     for (const NodeReachability &entry : reachability) {
         if (entry.node == m_self) {
--- a/src/rootadmission/tests/workspaceratelimiter_tests.cpp
+++ b/src/rootadmission/tests/workspaceratelimiter_tests.cpp
@@ -121,6 +121,19 @@
         }
     }
 
+    /// Replaces all nodes by new ones, which know nothing of the earlier ones. They learn of the fleet with the next
+    /// exchange of the reachability.
+    void restartAll()
+    {
+        network.clear();
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            limiters[i] = std::make_unique<WorkspaceRateLimiter>(
+                names[i], RateTolerance{.share = 0.1, .requests = 20}, random, *links[i]);
+            limiters[i]->setLimits(limits);
+        }
+        updateAt = now;
+    }
+
     void acquire(int node, const WorkspaceName &workspace = Acme)
     {
         limiters[node]->acquire(workspace, now, [this](TokenOutcome outcome, Duration) {
@@ -244,6 +257,19 @@
     CHECK(maxInWindow <= bound(limit));
 }
 
+// Guards against nodes that grant tokens on their own after a restart of the whole fleet, before they know that there
+// are others (QUOTA).
+TEST(WorkspaceRateLimiter, aFloodDuringARestartOfAllNodesStaysWithinTheBound)
+{
+    const RateLimit limit{.ratePerSecond = 455, .burst = 190};
+    build(80, limit);
+    run(6s, spread(2500));
+    restartAll();
+    run(6s, spread(2500));
+    CHECK(maxInWindow <= bound(limit));
+    CHECK(admitted >= 0.9 * 455 * 12);
+}
+
 TEST(WorkspaceRateLimiter, allSidesOfAPartitionTogetherStayWithinTheBound)
 {
     const RateLimit limit{.ratePerSecond = PartitionedRate, .burst = PartitionedRate};
--- a/src/rootadmission/workspaceratelimiter.h
+++ b/src/rootadmission/workspaceratelimiter.h
@@ -42,7 +42,9 @@
 
     void setLimits(const std::map<WorkspaceName, RateLimit> &limits);
 
-    /// Acquires one token. The completion is called exactly once, possibly before acquire() returns.
+    /// Acquires one token. The completion is called exactly once, possibly before acquire() returns. Before the first
+    /// update(), no owner is known and no token is granted: a node that granted on its own while it does not know the
+    /// others would multiply the rate by the size of the fleet.
     void acquire(const WorkspaceName &workspace, TimePoint now, TokenCompletion completion);
 
     /// Returns a token that was granted for a request that did not run.
@@ -100,6 +102,7 @@
     IRateLink &m_link;
     WorkspaceTokenBuckets m_buckets;
     RateOwnership m_ownership;
+    bool m_ownersKnown = false; ///< Whether update() was called.
     std::uint64_t m_lastAskId; ///< Starts at a random value, so that owners distinguish asks of two starts of a node.
     std::set<NodeName> m_unresponsive; ///< Nodes that are unresponsive to this node.
     std::map<NodeName, TimePoint> m_avoidUntil; ///< Times until which owners that did not answer are not asked.
