Use no connection to an upstream again that holds bytes of no request

In the product's own mode, an upstream that sent an answer a second time, late, on a kept connection made the next caller get an answer that was not its own. A kept connection is now closed if the upstream has closed it or has sent bytes before the next request.

--- a/src/transport/internal/upstreamclient.cpp
+++ b/src/transport/internal/upstreamclient.cpp
@@ -3,6 +3,7 @@
 #include "transport/internal/bufferedstream.h"
 
 #include <httplib.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <deque>
@@ -57,6 +58,13 @@
         return m_answer.complete && socket_.is_open();
     }
 
+    /// Whether the upstream has closed the idle connection or has sent bytes that belong to no request.
+    [[nodiscard]] bool hasUnreadBytes() const
+    {
+        char byte = 0;
+        return ::recv(socket_.sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    }
+
     TimePoint idleSince;
 
 private:
@@ -147,12 +155,15 @@
             expired.push_back(std::move(idle.front()));
             idle.pop_front();
         }
-        if (idle.empty()) {
-            return std::make_unique<UpstreamConnection>(upstream, m_settings.connectTimeout);
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back());
+            idle.pop_back();
+            if (!connection->hasUnreadBytes()) {
+                return connection;
+            }
+            expired.push_back(std::move(connection));
         }
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        return connection;
+        return std::make_unique<UpstreamConnection>(upstream, m_settings.connectTimeout);
     }
 
     void release(const Endpoint &upstream, std::unique_ptr<UpstreamConnection> connection)
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -3,7 +3,9 @@
 #include "transport/upstreamclient.h"
 
 #include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <thread>
@@ -182,6 +184,130 @@
 
 namespace {
 
+/// A server whose connections the test handles itself.
+class RawServer
+{
+public:
+    RawServer()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (::bind(m_listener, reinterpret_cast<sockaddr *>(&address), size) != 0 || ::listen(m_listener, 8) != 0
+            || ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size) != 0) {
+            FAIL("cannot listen on a loopback port");
+        }
+        endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+    }
+
+    ~RawServer()
+    {
+        ::close(m_listener);
+    }
+
+    RawServer(const RawServer &) = delete;
+    RawServer &operator=(const RawServer &) = delete;
+
+    /// Accepts a connection and reads the head of its first request.
+    [[nodiscard]] int accept() const
+    {
+        const int connection = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        readHead(connection);
+        return connection;
+    }
+
+    static void readHead(int connection)
+    {
+        std::string head;
+        char byte = 0;
+        while (!head.ends_with("\r\n\r\n") && ::recv(connection, &byte, 1, 0) == 1) {
+            head += byte;
+        }
+    }
+
+    static void write(int connection, const std::string &bytes)
+    {
+        (void)::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    Endpoint endpoint;
+
+private:
+    int m_listener = -1;
+};
+
+HttpRequest getRequest()
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    return request;
+}
+
+} // namespace
+
+TEST_GROUP(UpstreamClient)
+{
+    RawServer server;
+    std::unique_ptr<IUpstreamClient> client = makeUpstreamClient({});
+};
+
+// Guards against a success without the upstream's body because its connection ended within the head.
+TEST(UpstreamClient, aHeadThatEndsInTheMiddleIsIncomplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: a1\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        std::thread upstream([&] {
+            const int connection = server.accept();
+            RawServer::write(connection, head.substr(0, length));
+            ::close(connection);
+        });
+        const UpstreamAnswer answer = client->send(server.endpoint, getRequest(), farDeadline(), NoSocket);
+        upstream.join();
+        CHECK(!answer.complete);
+        CHECK(answer.sentAnything);
+    }
+}
+
+// Guards against an answer that a caller gets although it belongs to an earlier request of the connection.
+TEST(UpstreamClient, aConnectionWithASecondCopyOfAnAnswerIsNotUsedAgain)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    std::atomic<bool> sentTwice = false;
+    std::atomic<int> connections = 0;
+    std::thread upstream([&] {
+        const int connection = server.accept();
+        RawServer::write(connection, first);
+        ++connections;
+        while (connections == 1) {
+            std::this_thread::yield();
+        }
+        RawServer::write(connection, first);
+        sentTwice = true;
+        const int next = server.accept();
+        RawServer::write(next, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+        ::close(next);
+        ::close(connection);
+    });
+    STRCMP_EQUAL("first", client->send(server.endpoint, getRequest(), farDeadline(), NoSocket).response.body.c_str());
+    ++connections;
+    while (!sentTwice) {
+        std::this_thread::yield();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20)); // The copy passes the loopback interface.
+    const UpstreamAnswer answer = client->send(server.endpoint, getRequest(), farDeadline(), NoSocket);
+    if (answer.response.body != "next") {
+        // Lets the upstream's thread end.
+        (void)makeUpstreamClient({})->send(server.endpoint, getRequest(), farDeadline(), NoSocket);
+    }
+    upstream.join();
+    STRCMP_EQUAL("next", answer.response.body.c_str());
+}
+
+namespace {
+
 class CallHandler final : public INodeHandler
 {
 public:
