--- a/src/metrics/internal/prometheusmetrics.cpp
+++ b/src/metrics/internal/prometheusmetrics.cpp
@@ -4,6 +4,9 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <initializer_list>
+#include <string_view>
+
 namespace vanillatack {
 
 namespace {
@@ -17,6 +20,17 @@
 const prometheus::Histogram::BucketBoundaries DurationBounds =
     {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60};
 
+/// Joins label values with a separator that names do not contain.
+std::string joinKey(std::initializer_list<std::string_view> values)
+{
+    std::string key;
+    for (const std::string_view value : values) {
+        key += value;
+        key += '\0';
+    }
+    return key;
+}
+
 std::string statusClass(int status)
 {
     return status >= 100 && status < 600 ? std::to_string(status / 100) + "xx" : "none";
@@ -62,31 +76,51 @@
                                      int status,
                                      Duration latency)
 {
-    m_requests.get({{"route", route.value}, {"workspace", workspace.value}, {"code", statusClass(status)}}).Increment();
-    m_durations.get({{"route", route.value}}, DurationBounds).Observe(std::chrono::duration<double>(latency).count());
+    const std::string code = statusClass(status);
+    const auto requestLabels = [&] {
+        return prometheus::Labels{{"route", route.value}, {"workspace", workspace.value}, {"code", code}};
+    };
+    const auto routeLabels = [&] {
+        return prometheus::Labels{{"route", route.value}};
+    };
+    m_requests.get(joinKey({route.value, workspace.value, code}), requestLabels).Increment();
+    m_durations.get(route.value, routeLabels, DurationBounds).Observe(std::chrono::duration<double>(latency).count());
 }
 
 void PrometheusMetrics::countRefusal(RefusalKind kind, PriorityClass priority)
 {
-    m_refusals
-        .get({{"kind", std::string(RefusalKindNames.name(kind))},
-              {"class", std::string(PriorityClassNames.name(priority))}})
-        .Increment();
+    const std::string kindName(RefusalKindNames.name(kind));
+    const std::string className(PriorityClassNames.name(priority));
+    const auto labels = [&] {
+        return prometheus::Labels{{"kind", kindName}, {"class", className}};
+    };
+    m_refusals.get(joinKey({kindName, className}), labels).Increment();
 }
 
 void PrometheusMetrics::countAttempt(const ServiceName &service, bool retry)
 {
-    m_attempts.get({{"service", service.value}, {"attempt", retry ? "retry" : "first"}}).Increment();
+    const std::string attempt = retry ? "retry" : "first";
+    const auto labels = [&] {
+        return prometheus::Labels{{"service", service.value}, {"attempt", attempt}};
+    };
+    m_attempts.get(joinKey({service.value, attempt}), labels).Increment();
 }
 
 void PrometheusMetrics::countControlBytes(const std::string &direction, std::size_t bytes)
 {
-    m_controlBytes.get({{"direction", direction}}).Increment(static_cast<double>(bytes));
+    const auto labels = [&] {
+        return prometheus::Labels{{"direction", direction}};
+    };
+    m_controlBytes.get(direction, labels).Increment(static_cast<double>(bytes));
 }
 
 void PrometheusMetrics::countPlatformOperation(const std::string &operation, bool succeeded)
 {
-    m_platformOperations.get({{"operation", operation}, {"result", succeeded ? "ok" : "failed"}}).Increment();
+    const std::string result = succeeded ? "ok" : "failed";
+    const auto labels = [&] {
+        return prometheus::Labels{{"operation", operation}, {"result", result}};
+    };
+    m_platformOperations.get(joinKey({operation, result}), labels).Increment();
 }
 
 void PrometheusMetrics::setGauge(const std::string &name, double value)
--- a/src/metrics/internal/prometheusmetrics.h
+++ b/src/metrics/internal/prometheusmetrics.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <unordered_map>
 
 namespace vanillatack {
 
@@ -25,19 +26,21 @@
     {
     }
 
-    template<class... Arguments>
-    Metric &get(const prometheus::Labels &labels, const Arguments &...arguments)
+    /// The metric with the labels that makeLabels() returns. The key identifies the label set; it is cheaper to look up
+    /// than the labels themselves, which are built only for a new key.
+    template<class MakeLabels, class... Arguments>
+    Metric &get(const std::string &key, const MakeLabels &makeLabels, const Arguments &...arguments)
     {
         const std::lock_guard lock(m_mutex);
-        const auto found = m_metrics.find(labels);
+        const auto found = m_metrics.find(key);
         if (found != m_metrics.end()) {
             return *found->second;
         }
         if (m_metrics.size() < m_limit) {
-            return *m_metrics.emplace(labels, &m_family.Add(labels, arguments...)).first->second;
+            return *m_metrics.emplace(key, &m_family.Add(makeLabels(), arguments...)).first->second;
         }
         if (!m_other) {
-            prometheus::Labels other = labels;
+            prometheus::Labels other = makeLabels();
             for (auto &[name, value] : other) {
                 value = OtherLabel;
             }
@@ -50,7 +53,7 @@
     std::mutex m_mutex;
     prometheus::Family<Metric> &m_family;
     std::size_t m_limit;
-    std::map<prometheus::Labels, Metric *> m_metrics;
+    std::unordered_map<std::string, Metric *> m_metrics; ///< By key.
     Metric *m_other = nullptr;
 };
 
--- a/src/proxy/decisionlog.h
+++ b/src/proxy/decisionlog.h
@@ -40,6 +40,7 @@
     std::string m_node;
     int m_descriptor;
     std::map<std::string, KindState, std::less<>> m_kinds;
+    std::size_t m_writableBytes = 0; ///< Bytes that can be written without blocking, as far as known.
     std::uint64_t m_droppedLines = 0;
 };
 
--- a/src/proxy/internal/decisionlog.cpp
+++ b/src/proxy/internal/decisionlog.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_format.h>
 
 #include <fcntl.h>
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -64,11 +65,15 @@
 
 void DecisionLog::write(const std::string &line)
 {
-    if (!isWritable(m_descriptor)) {
+    // A writable pipe takes PIPE_BUF bytes without blocking, and its free space shrinks only by what is written here.
+    if (m_writableBytes < line.size()) {
+        m_writableBytes = isWritable(m_descriptor) ? PIPE_BUF : 0;
+    }
+    if (m_writableBytes < line.size()) {
         ++m_droppedLines;
         return;
     }
-    // A writable pipe accepts PIPE_BUF bytes without blocking, which is more than a line.
+    m_writableBytes -= line.size();
     if (::write(m_descriptor, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
         ++m_droppedLines;
     }
