--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -46,6 +46,7 @@
     /// start it and a further turn of the loop to cancel it, and most timers are cancelled.
     boost::asio::steady_timer m_timer{m_context};
     Expiry m_armedFor = Expiry::max(); ///< When m_timer expires; max() while it is not waited for.
+    std::uint64_t m_lastWait = 0; ///< Number of waits for m_timer so far; earlier ones were replaced.
     std::map<std::pair<Expiry, TimerId>, std::function<void()>> m_timers; ///< By expiry.
     absl::flat_hash_map<TimerId, Expiry> m_expiries;
     TimerId m_lastTimer = 0;
--- a/src/net/internal/eventloop.cpp
+++ b/src/net/internal/eventloop.cpp
@@ -47,9 +47,9 @@
 {
     m_armedFor = m_timers.begin()->first.first;
     m_timer.expires_at(m_armedFor);
-    m_timer.async_wait([this, armedFor = m_armedFor](const boost::system::error_code & /*error*/) {
-        // A wait that was replaced by an earlier one is reported too.
-        if (armedFor == m_armedFor) {
+    m_timer.async_wait([this, wait = ++m_lastWait](const boost::system::error_code & /*error*/) {
+        // Asio also calls the handler of a wait that was replaced.
+        if (wait == m_lastWait) {
             callExpired();
         }
     });
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace vanillatack;
@@ -140,6 +142,52 @@
 
 } // namespace
 
+TEST_GROUP(EventLoop)
+{
+    EventLoop loop;
+    std::vector<int> called;
+};
+
+TEST(EventLoop, callsTimersInTheOrderOfTheirExpiry)
+{
+    for (const int delay : {30, 10, 20, 0}) {
+        loop.callAfter(std::chrono::milliseconds(delay), [this, delay] {
+            called.push_back(delay);
+        });
+    }
+    CHECK(runUntil(loop, [this] {
+        return called.size() == 4;
+    }));
+    CHECK((called == std::vector<int>{0, 10, 20, 30}));
+}
+
+TEST(EventLoop, cancelledTimersAreNotCalled)
+{
+    const EventLoop::TimerId first = loop.callAfter(5ms, [this] {
+        called.push_back(1);
+    });
+    EventLoop::TimerId third = 0;
+    loop.callAfter(10ms, [&] {
+        called.push_back(2);
+        loop.cancel(third); // Has expired as well, and is cancelled before its turn.
+        loop.callAfter(0ms, [this] {
+            called.push_back(4);
+        });
+    });
+    third = loop.callAfter(10ms, [this] {
+        called.push_back(3);
+    });
+    loop.cancel(first);
+    loop.cancel(first);
+    std::this_thread::sleep_for(20ms);
+    CHECK(runUntil(loop, [this] {
+        return called.size() == 2;
+    }));
+    loop.context().restart();
+    loop.context().run_for(20ms);
+    CHECK((called == std::vector<int>{2, 4}));
+}
+
 TEST_GROUP(HttpServer)
 {
     EventLoop loop;
--- a/src/proxy/internal/decisionlog.cpp
+++ b/src/proxy/internal/decisionlog.cpp
@@ -65,7 +65,8 @@
 
 void DecisionLog::write(const std::string &line)
 {
-    // A writable pipe takes PIPE_BUF bytes without blocking, and its free space shrinks only by what is written here.
+    // A writable pipe takes PIPE_BUF bytes without blocking. Of other writers, only standard error may share it, which
+    // blocks by itself when the pipe is full.
     if (m_writableBytes < line.size()) {
         m_writableBytes = isWritable(m_descriptor) ? PIPE_BUF : 0;
     }
