--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -365,6 +365,12 @@
     STRCMP_CONTAINS("200", exchange("GET /3 HTTP/1.1\r\nHost: x\r\n\r\n").c_str());
 }
 
+TEST(HttpServer, aBodyThatCanNeverFitIsTooLarge)
+{
+    server->setLimits({.bodyBytes = 100'000, .bufferedBytes = 100'000});
+    STRCMP_CONTAINS("413", exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n").c_str());
+}
+
 TEST(HttpServer, refusesABodyThatDoesNotFitBeforeReadingIt)
 {
     server->setLimits({.bodyBytes = 1 << 20, .bufferedBytes = 100'000});
