--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -470,6 +470,7 @@
                 const std::lock_guard lock(m_mutex);
                 m_sent[request.id] = m_record.seconds();
             }
+            m_record.line("client sends " + request.id + " to " + m_address.text());
             Message answer;
             const bool answered = socket >= 0 && sendAll(socket, request.text())
                 && readMessage(socket, buffer, answer, Clock::now() + seconds(5)) == ReadResult::Complete;
@@ -477,6 +478,8 @@
                 const std::lock_guard lock(m_mutex);
                 ++m_statuses[answered ? answer.status() : 0];
             }
+            m_record.line("client: " + request.id
+                          + (answered ? " answered with " + std::to_string(answer.status()) : " got no answer"));
             if (socket >= 0 && (!answered || answer.header("Connection") == "close")) {
                 close(socket);
                 socket = -1;
