Invalidate all requests of a closed connection before reporting the first

Cause: HttpServer::close removed the connection and then reported its exchanges as abandoned one by one. The report of the first can complete a later one of the same connection, whose response looked up the removed connection and threw std::out_of_range.

Change: all exchanges of the connection are removed before the first report. The same in PeerLink::abandonCalls, which re-created the entry of the closed connection. HttpServer::respond no longer parses further requests within the call, so that a listener is never re-entered while it handles a time-out; the egress removes an abandoned request before it ends its attempt.

--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -34,7 +34,8 @@
     /// Receives a complete request. Answer it with IHttpServer::respond(), during the call or later.
     virtual void onRequest(ExchangeId exchange, HttpRequest request, const std::string &peerAddress) = 0;
 
-    /// The connection was closed before the response was given. The exchange is no longer valid.
+    /// The connection was closed before the response was given. Neither this exchange nor another one of the connection
+    /// is valid any more; responses to them are ignored. Never called from within IHttpServer::respond().
     virtual void onExchangeAbandoned(ExchangeId exchange) = 0;
 };
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -139,6 +140,7 @@
         bool answeredBefore = false; ///< At least one response was sent.
         bool closeRequested = false; ///< No further requests are accepted; the last response has "Connection: close".
         bool parsing = false; ///< parse() is running; it continues with the next request by itself.
+        bool parsePosted = false; ///< parse() is called by the loop soon.
         bool sending = false; ///< A response is being written and the socket accepts no more bytes.
         bool lingering = false;
         std::size_t bufferedBytes = 0; ///< This connection's part of m_bufferedBytes.
@@ -414,8 +416,12 @@
     if (entry == m_exchanges.end()) {
         return;
     }
-    const ConnectionPointer connection = m_connections.at(entry->second);
+    const auto found = m_connections.find(entry->second);
     m_exchanges.erase(entry);
+    if (found == m_connections.end()) {
+        return;
+    }
+    const ConnectionPointer connection = found->second;
     const auto item =
         std::find_if(connection->exchanges.begin(), connection->exchanges.end(), [exchange](const Exchange &candidate) {
             return candidate.id == exchange;
@@ -434,10 +440,20 @@
         sent = true;
     }
     updateBufferedBytes(*connection);
-    if (sent && !connection->sending && !connection->lingering && connection->socket.is_open()) {
-        // Reading may have paused because of the number of requests.
-        parse(connection);
-        read(connection);
+    if (!sent || connection->sending || connection->lingering || !connection->socket.is_open()) {
+        return;
+    }
+    // Reading may have paused because of the number of requests.
+    read(connection);
+    if (connection->input.size() > 0 && !connection->parsing && !connection->parsePosted) {
+        // Parsed later, because respond() must not re-enter the listener.
+        connection->parsePosted = true;
+        asio::post(m_loop.context(), [this, connection] {
+            connection->parsePosted = false;
+            if (connection->socket.is_open()) {
+                parse(connection);
+            }
+        });
     }
 }
 
@@ -529,11 +545,17 @@
     error_code ignored; // The caller may have closed first.
     connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
     connection->socket.close(ignored);
+    // All are removed first: the listener may respond to further requests of this connection when it learns that one is
+    // abandoned.
+    std::vector<ExchangeId> abandoned;
     for (const Exchange &exchange : connection->exchanges) {
         if (m_exchanges.erase(exchange.id) == 1) {
-            m_listener.onExchangeAbandoned(exchange.id);
+            abandoned.push_back(exchange.id);
         }
     }
+    for (const ExchangeId exchange : abandoned) {
+        m_listener.onExchangeAbandoned(exchange);
+    }
 }
 
 Phase HttpServer::phase(const Connection &connection)
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -379,8 +379,12 @@
     if (entry == m_outgoing.end()) {
         return;
     }
-    Peer &peer = m_peers[entry->second.node];
+    const auto found = m_peers.find(entry->second.node);
     m_outgoing.erase(entry);
+    if (found == m_peers.end()) {
+        return; // The connection has failed, and its calls are being completed.
+    }
+    Peer &peer = found->second;
     peer.unsent.erase(call);
     if (peer.inFlight.erase(call) == 1 && peer.connection) {
         peer.lastCancelAt = m_clock.now();
@@ -439,11 +443,17 @@
     if (calls.empty()) {
         return;
     }
+    // All are removed first: the listener may reply to further calls of this connection when it learns that one is
+    // abandoned.
+    std::vector<PeerCallId> abandoned;
     for (const auto &[requestId, id] : calls.mapped().calls) {
         if (m_incoming.erase(id) == 1) {
-            m_listener.onCallAbandoned(id);
+            abandoned.push_back(id);
         }
     }
+    for (const PeerCallId id : abandoned) {
+        m_listener.onCallAbandoned(id);
+    }
 }
 
 PeerCallId PeerLink::addIncoming(const FramePointer &connection, std::uint64_t requestId)
@@ -464,7 +474,9 @@
     }
     const IncomingCall incoming = entry->second;
     m_incoming.erase(entry);
-    m_inbound[incoming.connection].calls.erase(incoming.requestId);
+    if (const auto inbound = m_inbound.find(incoming.connection); inbound != m_inbound.end()) {
+        inbound->second.calls.erase(incoming.requestId);
+    }
     requestId = incoming.requestId;
     return incoming.connection;
 }
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -47,6 +47,11 @@
     void onExchangeAbandoned(ExchangeId exchange) override
     {
         abandoned.push_back(exchange);
+        if (answersAllWhenAbandoned) {
+            for (std::size_t index = 0; index < exchanges.size(); ++index) {
+                answer(index);
+            }
+        }
     }
 
     void answer(std::size_t index)
@@ -59,6 +64,7 @@
 
     IHttpServer *server = nullptr;
     bool automatic = true;
+    bool answersAllWhenAbandoned = false;
     std::vector<HttpRequest> requests;
     std::vector<ExchangeId> exchanges;
     std::vector<ExchangeId> abandoned;
@@ -269,6 +275,51 @@
     LONGS_EQUAL(0, server->bufferedBytes());
 }
 
+// Guards against a process that ends, and with it the requests of all other callers, when one with pipelined requests
+// leaves (LOST).
+TEST(HttpServer, requestsOfAClosedConnectionMayBeAnsweredWhileTheyAreAbandoned)
+{
+    listener.automatic = false;
+    listener.answersAllWhenAbandoned = true;
+    RawConnection connection(loop, server->port());
+    connection.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\nGET /3 HTTP/1.1\r\nHost: "
+                    "x\r\n\r\n");
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 3;
+    }));
+    connection.close();
+    CHECK(runUntil(loop, [&] {
+        return listener.abandoned.size() == 3;
+    }));
+    listener.answersAllWhenAbandoned = false;
+    listener.automatic = true;
+    STRCMP_CONTAINS("/other", exchange("GET /other HTTP/1.1\r\nHost: x\r\n\r\n").c_str());
+}
+
+// Guards against a request that is removed by a callback while its own time-out or abandonment is handled.
+TEST(HttpServer, respondingDoesNotReenterTheListener)
+{
+    listener.automatic = false;
+    RawConnection connection(loop, server->port());
+    std::string requests;
+    for (int index = 0; index < 40; ++index) { // More than are processed at a time.
+        requests += "GET /" + std::to_string(index) + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    connection.send(requests);
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 32;
+    }));
+    listener.answer(0);
+    LONGS_EQUAL(32, listener.exchanges.size());
+    CHECK(runUntil(loop, [&] {
+        return listener.exchanges.size() == 33;
+    }));
+    connection.close();
+    CHECK(runUntil(loop, [&] {
+        return listener.abandoned.size() == 32;
+    }));
+}
+
 TEST(HttpServer, drainingAnswersReceivedRequestsAndAcceptsNoMore)
 {
     listener.automatic = false;
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -500,23 +500,25 @@
                                     {{"id", request.attemptId},
                                      {"route", request.route.value},
                                      {"spent_ms", millisecondsText(m_dependencies.clock.now() - request.receivedAt)}});
-    cancelAttempt(request);
+    // Removed first: ending the attempt may complete other requests, whose callbacks must not find this one.
+    Request abandoned = std::move(request);
     removeRequest(id);
+    cancelAttempt(abandoned);
 }
 
 void EgressProxy::cancelAttempt(Request &request)
 {
-    if (request.outgoingCall.value != 0 || request.localTicket.value != 0) {
+    const OutgoingCallId outgoingCall = std::exchange(request.outgoingCall, {});
+    const TicketId localTicket = std::exchange(request.localTicket, {});
+    if (outgoingCall.value != 0 || localTicket.value != 0) {
         m_dependencies.directory.finish(request.node, CallOutcome::Served, m_dependencies.clock.now());
     }
-    if (request.outgoingCall.value != 0) {
-        m_link->cancel(request.outgoingCall);
+    if (outgoingCall.value != 0) {
+        m_link->cancel(outgoingCall);
     }
-    if (request.localTicket.value != 0) {
-        m_dependencies.ingress.abandon(request.localTicket);
+    if (localTicket.value != 0) {
+        m_dependencies.ingress.abandon(localTicket);
     }
-    request.outgoingCall = {};
-    request.localTicket = {};
 }
 
 void EgressProxy::removeRequest(RequestId id)
