--- a/src/daemon/internal/problem.cpp
+++ b/src/daemon/internal/problem.cpp
@@ -90,7 +90,9 @@
         {"run", std::string(RunStateNames.name(refusal.runState))},
         {"request_id", rootId},
     };
-    HttpResponse response{text.status, {{"Content-Type", "application/problem+json"}}, body.dump() + "\n", false};
+    // The request's id may hold bytes that are not UTF-8.
+    const std::string content = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    HttpResponse response{text.status, {{"Content-Type", "application/problem+json"}}, content, false};
     if (refusal.retryAfter > Duration::zero()) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter).count();
         response.headers.emplace_back("Retry-After", std::to_string(seconds));
--- a/src/daemon/tests/settings_tests.cpp
+++ b/src/daemon/tests/settings_tests.cpp
@@ -159,6 +159,13 @@
     LONGS_EQUAL(statuses.size(), titles.size());
 }
 
+// Guards against a request that gets no problem document because its id is not UTF-8.
+TEST(Problem, anUnreadableRequestIdIsReplaced)
+{
+    const HttpResponse response = makeProblem({RefusalKind::Overloaded, RunState::NotRun, 1s}, "a\xff");
+    CHECK(!nlohmann::json::parse(response.body, nullptr, false).is_discarded());
+}
+
 // Guards against a Retry-After header where a retry does not help, and against unreadable requests without a response.
 TEST(Problem, unreadableRequestsAndUnknownRoutesHaveNoRetryAfter)
 {
--- a/src/fleet/internal/nodeentrycodec.cpp
+++ b/src/fleet/internal/nodeentrycodec.cpp
@@ -39,7 +39,7 @@
         {"accepting", entry.accepting},
         {"leaving", entry.leaving},
     }
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); // Throws for no text.
 }
 
 Result<NodeEntry> parseNodeEntry(const std::string &text)
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -230,6 +230,14 @@
     LONGS_EQUAL(1, listener.nodes.size());
 }
 
+// Guards against a row that ends the process because a text in it is not UTF-8.
+TEST(NodeRegistry, anEntryWithUnreadableTextIsFormattedAllTheSame)
+{
+    NodeEntry odd = entry("n2", "a");
+    odd.instance = "i-\xff\xfe";
+    CHECK(parseNodeEntry(formatNodeEntry(odd)).has_value());
+}
+
 // Guards against one entry of another writer that ends the process or names a node that cannot exist.
 TEST(NodeRegistry, ignoresEntriesWithImpossibleValues)
 {
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -27,6 +27,7 @@
     /// Unknown timers are ignored.
     void cancel(TimerId timer);
 
+    /// Runs until stop(). An exception that leaves a handler is logged and ends only this handler.
     void run();
     void stop();
 
--- a/src/net/internal/eventloop.cpp
+++ b/src/net/internal/eventloop.cpp
@@ -3,10 +3,13 @@
 #include "base/log.h"
 #include "model/ids.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <exception>
 #include <vector>
 
 namespace vanillatack {
@@ -64,6 +67,11 @@
     for (auto timer = m_timers.begin(); timer != m_timers.end() && timer->first.first <= now; ++timer) {
         expired.push_back(timer->first.second);
     }
+    const absl::Cleanup armNext = [this] {
+        if (!m_timers.empty() && m_timers.begin()->first.first < m_armedFor) {
+            arm();
+        }
+    };
     for (const TimerId id : expired) {
         const auto expiry = m_expiries.extract(id);
         if (!expiry.empty()) {
@@ -71,14 +79,21 @@
             timer.mapped()();
         }
     }
-    if (!m_timers.empty() && m_timers.begin()->first.first < m_armedFor) {
-        arm();
-    }
 }
 
 void EventLoop::run()
 {
-    m_context.run();
+    while (true) {
+        try {
+            m_context.run();
+            return;
+        } catch (const std::exception &exception) {
+            // Ends only the handler that threw. Ending the process would cut the requests of all callers.
+            EventLoopLog.error("A handler of the event loop has failed; the loop goes on. Report this as a fault of "
+                               "the program.",
+                               {{"error", exception.what()}});
+        }
+    }
 }
 
 void EventLoop::stop()
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -4,6 +4,7 @@
 #include "net/internal/receivebuffer.h"
 #include "net/internal/requestframing.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
@@ -249,12 +250,12 @@
             expired.push_back(connection);
         }
     }
-    for (const ConnectionPointer &connection : expired) {
-        close(connection);
-    }
     m_loop.callAfter(SweepInterval, [this] {
         sweep();
     });
+    for (const ConnectionPointer &connection : expired) {
+        close(connection);
+    }
 }
 
 void HttpServer::read(const ConnectionPointer &connection)
@@ -306,8 +307,10 @@
         return;
     }
     connection->parsing = true;
+    const absl::Cleanup ended = [&connection] {
+        connection->parsing = false;
+    };
     parseRequests(connection);
-    connection->parsing = false;
 }
 
 void HttpServer::parseRequests(const ConnectionPointer &connection)
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -194,6 +194,24 @@
     CHECK((called == std::vector<int>{2, 4}));
 }
 
+// Guards against an exception that nothing catches: it would end the process and the requests of all callers.
+TEST(EventLoop, aHandlerThatThrowsEndsNeitherTheLoopNorOtherTimers)
+{
+    loop.callAfter(0ms, [] {
+        throw std::runtime_error("unexpected");
+    });
+    loop.callAfter(0ms, [this] {
+        called.push_back(1);
+    });
+    loop.callAfter(5ms, [this] {
+        called.push_back(2);
+        loop.stop();
+    });
+    std::this_thread::sleep_for(1ms);
+    loop.run();
+    CHECK((called == std::vector<int>{1, 2}));
+}
+
 TEST_GROUP(HttpServer)
 {
     EventLoop loop;
--- a/src/proxy/internal/decisionlog.cpp
+++ b/src/proxy/internal/decisionlog.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
 #include <fcntl.h>
 #include <limits.h>
 #include <poll.h>
@@ -18,7 +19,9 @@
 
 bool needsQuotes(std::string_view value)
 {
-    return value.empty() || value.find_first_of(" \"=\n\t\\") != std::string_view::npos;
+    return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
+               return c <= ' ' || c > '~' || c == '"' || c == '=' || c == '\\'; // Bytes above 127 are negative chars.
+           });
 }
 
 bool isWritable(int descriptor)
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -2,6 +2,7 @@
 
 #include "base/durations.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
@@ -154,6 +155,11 @@
 
 void FleetControl::tick()
 {
+    const absl::Cleanup scheduleNext = [this] {
+        m_dependencies.loop.callAfter(m_registry.loaded() ? reportInterval() : StartupTickInterval, [this] {
+            tick();
+        });
+    };
     publishLocalState();
     m_detector.setReportInterval(reportInterval());
     const NodeReport report = makeReport();
@@ -166,9 +172,6 @@
     removeUnresponsiveNodes();
     m_dependencies.decisions.logOmittedCounts();
     setGauges(report);
-    m_dependencies.loop.callAfter(m_registry.loaded() ? reportInterval() : StartupTickInterval, [this] {
-        tick();
-    });
 }
 
 /// Time between two reports of this node. Grows with the zone, since each report goes to every node of the zone.
