Count pledges of rates by what the pledging node states

Cause: an owner inferred from its own copy of the registry to whom the other nodes pledge. While copies differ, two nodes take the same pledges for theirs.

Change: reports state which nodes their node does not choose as owner and a digest of the nodes that it knows. An owner counts a pledge only if the statement leads to it. Unknown views are not counted; differing_views in rates.pledged tells how many.

--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -277,6 +277,11 @@
     std::vector<CallEdge> edges;
     /// Registered nodes that are unresponsive to this node; it chooses none of them as rate owner.
     std::vector<NodeName> silent;
+    /// Registered nodes that are leaving according to this node's copy of the registry; it chooses none of them either.
+    std::vector<NodeName> leaving;
+    /// Digest of the names of all nodes in this node's copy of the registry. With silent and leaving it states to which
+    /// owner this node pledges its share of each rate, to every node that knows the same names.
+    std::uint64_t registeredDigest = 0;
 };
 
 /// Reports of a zone, sent to the other zones by the relay of the zone.
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -220,6 +220,12 @@
     report.edges = m_dependencies.ingress.callGraph().edges();
     const std::set<NodeName> unresponsive = m_detector.unresponsive(now);
     report.silent.assign(unresponsive.begin(), unresponsive.end());
+    for (const NodeEntry &node : m_dependencies.directory.nodes()) {
+        if (node.leaving) {
+            report.leaving.push_back(node.node);
+        }
+    }
+    report.registeredDigest = digestOf(registeredNodes());
     return report;
 }
 
@@ -370,29 +376,32 @@
     m_dependencies.shedder.setShares(std::move(plan.shares));
 }
 
-/// Updates the rate limiter with the registered nodes, the nodes that may own a rate, and the nodes that each node with
-/// a recent report finds unresponsive.
+std::set<NodeName> FleetControl::registeredNodes() const
+{
+    std::set<NodeName> names;
+    for (const NodeEntry &node : m_dependencies.directory.nodes()) {
+        names.insert(node.node);
+    }
+    return names;
+}
+
+/// Updates the rate limiter with the registered nodes and with what each node with a recent report states about the
+/// owners that it chooses.
 void FleetControl::updateRateLimiter()
 {
     if (!m_registry.loaded()) {
         return; // The other nodes are not known yet.
     }
     const TimePoint now = m_dependencies.clock.now();
-    std::set<NodeName> registered;
-    std::set<NodeName> candidates;
-    for (const NodeEntry &node : m_dependencies.directory.nodes()) {
-        registered.insert(node.node);
-        if (!node.leaving) {
-            candidates.insert(node.node);
-        }
-    }
-    std::vector<NodeReachability> reachability;
+    std::vector<OwnerStatement> statements;
     for (const NodeReport &report : m_dependencies.directory.reports(reportLifetime(), now)) {
         if (m_detector.reportedRecently(report.node, now)) {
-            reachability.push_back({report.node, {report.silent.begin(), report.silent.end()}});
+            OwnerStatement statement{report.node, {report.silent.begin(), report.silent.end()}, report.registeredDigest};
+            statement.notOwners.insert(report.leaving.begin(), report.leaving.end());
+            statements.push_back(std::move(statement));
         }
     }
-    m_dependencies.rateLimiter.update(registered, candidates, std::move(reachability), now);
+    m_dependencies.rateLimiter.update(registeredNodes(), std::move(statements), now);
     logPledges();
 }
 
@@ -413,7 +422,8 @@
              {"part", absl::StrFormat("%.2f", share)},
              {"before", absl::StrFormat("%.2f", logged)},
              {"nodes", std::to_string(m_dependencies.directory.nodes().size())},
-             {"silent", std::to_string(m_detector.unresponsive(m_dependencies.clock.now()).size())}});
+             {"silent", std::to_string(m_detector.unresponsive(m_dependencies.clock.now()).size())},
+             {"differing_views", std::to_string(m_dependencies.rateLimiter.differingViews())}});
         logged = share;
     }
     std::erase_if(m_loggedPledges, [](const auto &entry) {
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -52,6 +52,7 @@
     void sendBundles();
     [[nodiscard]] std::vector<Endpoint> endpoints(const std::vector<NodeName> &nodes) const;
     void updateAdmittedShares();
+    [[nodiscard]] std::set<NodeName> registeredNodes() const;
     void updateRateLimiter();
     void logPledges();
     void removeUnresponsiveNodes();
--- a/src/rootadmission/internal/rateownership.cpp
+++ b/src/rootadmission/internal/rateownership.cpp
@@ -3,33 +3,54 @@
 #include "base/digest.h"
 
 #include <algorithm>
+#include <string>
 
 namespace vanillatack {
 
 namespace {
 
-/// Candidates kept for each workspace. When all of them are unresponsive, each node is its own owner.
+/// Candidates kept for each workspace. When none of them may be chosen, each node is its own owner.
 constexpr std::size_t MaxOwnerCandidates = 8;
 
+/// The owner that the node of the statement chooses among the candidates of a workspace.
+const NodeName &statedOwner(const OwnerStatement &statement, const std::vector<NodeName> &candidates)
+{
+    const auto owner = std::find_if(candidates.begin(), candidates.end(), [&statement](const NodeName &candidate) {
+        return !statement.notOwners.contains(candidate);
+    });
+    return owner == candidates.end() ? statement.node : *owner;
+}
+
 } // namespace
 
+std::uint64_t digestOf(const std::set<NodeName> &nodes)
+{
+    std::string text;
+    for (const NodeName &node : nodes) {
+        text += node.value;
+        text += '\n';
+    }
+    constexpr std::size_t Digits = 16;
+    constexpr int Hexadecimal = 16;
+    return std::stoull(sha256Hex(text).substr(0, Digits), nullptr, Hexadecimal);
+}
+
 RateOwnership::RateOwnership(NodeName self)
     : m_self(std::move(self))
 {
 }
 
-void RateOwnership::setNodes(const std::set<NodeName> &registered, const std::set<NodeName> &candidates)
+void RateOwnership::setNodes(const std::set<NodeName> &registered)
 {
-    m_registered = std::max<std::size_t>(registered.size(), 1);
-    if (candidates == m_candidates) {
+    if (registered == m_registered) {
         return;
     }
-    const bool removed = !std::includes(candidates.begin(), candidates.end(), m_candidates.begin(), m_candidates.end());
+    const bool removed = !std::includes(registered.begin(), registered.end(), m_registered.begin(), m_registered.end());
     if (removed) {
         m_candidateLists.clear();
     } else {
-        for (const NodeName &node : candidates) {
-            if (m_candidates.contains(node)) {
+        for (const NodeName &node : registered) {
+            if (m_registered.contains(node)) {
                 continue;
             }
             for (auto &[workspace, list] : m_candidateLists) {
@@ -37,12 +58,13 @@
             }
         }
     }
-    m_candidates = candidates;
+    m_registered = registered;
+    m_registeredDigest = digestOf(registered);
 }
 
-void RateOwnership::setReachability(std::vector<NodeReachability> reachability)
+void RateOwnership::setStatements(std::vector<OwnerStatement> statements)
 {
-    m_reachability = std::move(reachability);
+    m_statements = std::move(statements);
 }
 
 /// Rendezvous hashing: adding or removing a node moves only the workspaces that it owns.
@@ -66,7 +88,7 @@
 {
     const auto [entry, missing] = m_candidateLists.try_emplace(workspace);
     if (missing) {
-        for (const NodeName &node : m_candidates) {
+        for (const NodeName &node : m_registered) {
             insert(workspace, entry->second, node);
         }
     }
@@ -81,18 +103,20 @@
 double RateOwnership::pledgedShare(const WorkspaceName &workspace) const
 {
     const std::vector<NodeName> &candidates = ownerCandidates(workspace);
-    const auto self = std::find(candidates.begin(), candidates.end(), m_self);
-    std::size_t pledges = 0;
-    for (const NodeReachability &entry : m_reachability) {
-        const bool earlierUnresponsive = std::all_of(candidates.begin(), self, [&entry](const NodeName &candidate) {
-            return entry.unresponsive.contains(candidate);
+    const auto pledges =
+        std::count_if(m_statements.begin(), m_statements.end(), [this, &candidates](const OwnerStatement &statement) {
+            return statement.registeredDigest == m_registeredDigest && statedOwner(statement, candidates) == m_self;
         });
-        const bool listed = self != candidates.end();
-        const bool toSelf =
-            earlierUnresponsive && (listed ? !entry.unresponsive.contains(m_self) : entry.node == m_self);
-        pledges += toSelf ? 1 : 0;
-    }
-    return std::min(1.0, static_cast<double>(pledges) / static_cast<double>(m_registered));
+    const std::size_t nodes = std::max<std::size_t>(m_registered.size(), 1);
+    return std::min(1.0, static_cast<double>(pledges) / static_cast<double>(nodes));
+}
+
+std::size_t RateOwnership::differingViews() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_statements.begin(), m_statements.end(), [this](const OwnerStatement &statement) {
+            return statement.registeredDigest != m_registeredDigest;
+        }));
 }
 
 } // namespace vanillatack
--- a/src/rootadmission/internal/workspaceratelimiter.cpp
+++ b/src/rootadmission/internal/workspaceratelimiter.cpp
@@ -98,7 +98,7 @@
     for (const NodeName &node : m_ownership.ownerCandidates(workspace)) {
         const auto avoided = m_avoidUntil.find(node);
         const bool usable = avoided == m_avoidUntil.end() || avoided->second <= now;
-        if (usable && !m_unresponsive.contains(node)) {
+        if (usable && !m_notOwners.contains(node)) {
             return node;
         }
     }
@@ -246,15 +246,14 @@
 }
 
 void WorkspaceRateLimiter::update(const std::set<NodeName> &registered,
-                                  const std::set<NodeName> &candidates,
-                                  std::vector<NodeReachability> reachability,
+                                  std::vector<OwnerStatement> statements,
                                   TimePoint now)
 {
     m_ownersKnown = true;
-    m_unresponsive.clear();
-    for (const NodeReachability &entry : reachability) {
-        if (entry.node == m_self) {
-            m_unresponsive = entry.unresponsive;
+    m_notOwners.clear();
+    for (const OwnerStatement &statement : statements) {
+        if (statement.node == m_self) {
+            m_notOwners = statement.notOwners;
         }
     }
     std::erase_if(m_avoidUntil, [now](const auto &entry) {
@@ -263,8 +262,8 @@
     std::erase_if(m_answered, [&registered](const auto &entry) {
         return !registered.contains(entry.first.first);
     });
-    m_ownership.setNodes(registered, candidates);
-    m_ownership.setReachability(std::move(reachability));
+    m_ownership.setNodes(registered);
+    m_ownership.setStatements(std::move(statements));
     for (const auto &[name, workspace] : m_workspaces) {
         m_buckets.setPledgedShare(name, m_ownership.pledgedShare(name), now);
     }
--- a/src/rootadmission/rateownership.h
+++ b/src/rootadmission/rateownership.h
@@ -9,36 +9,47 @@
 
 namespace vanillatack {
 
-/// A node and the nodes that are unresponsive to it.
-struct NodeReachability {
+/// What a node states about the owners of rates that it chooses.
+struct OwnerStatement {
     NodeName node;
-    std::set<NodeName> unresponsive;
+    std::set<NodeName> notOwners; ///< Nodes that it chooses for no workspace: they are unresponsive to it or leaving.
+    std::uint64_t registeredDigest = 0; ///< Digest of the names of the nodes that it knows.
 };
 
+/// Digest of a set of nodes, the same on all nodes.
+std::uint64_t digestOf(const std::set<NodeName> &nodes);
+
 /// Determines which node grants the tokens of a workspace, and which share of each rate is pledged to this node.
 ///
-/// Every node pledges an equal share of each rate to one owner: the first responsive node in an order by hash that
-/// differs for each workspace. An owner grants only the share that is pledged to it. The sides of a network partition
-/// therefore divide the rate between them, whichever owners each of them chooses, and an isolated node keeps its own
-/// equal share.
+/// Every node pledges an equal share of each rate to one owner: the first node in an order by hash that differs for
+/// each workspace, without those that are unresponsive to it or leaving. An owner grants only the share that is pledged
+/// to it. The sides of a network partition therefore divide the rate between them, whichever owners each of them
+/// chooses, and an isolated node keeps its own equal share.
+///
+/// Copies of the node registry can differ between nodes for seconds. Which owner a node chooses is therefore never
+/// inferred from this node's copy but follows from the other node's own statement; the pledge of a node that knows other
+/// nodes than this one is not counted, since its choice is not known here.
 class RateOwnership
 {
 public:
     explicit RateOwnership(NodeName self);
 
-    /// registered: all nodes that may admit root requests; candidates: the nodes that may own a rate (not leaving).
-    void setNodes(const std::set<NodeName> &registered, const std::set<NodeName> &candidates);
+    /// registered: all nodes that may admit root requests.
+    void setNodes(const std::set<NodeName> &registered);
 
-    /// reachability: the known entries of all nodes, this node's own included.
-    void setReachability(std::vector<NodeReachability> reachability);
+    /// statements: the recent ones of all nodes, this node's own included.
+    void setStatements(std::vector<OwnerStatement> statements);
 
-    /// The first candidates for ownership of the workspace's rate, in the order in which nodes ask them. The first
-    /// responsive one is the owner.
+    /// The first candidates for ownership of the workspace's rate, in the order in which nodes ask them. A node's owner
+    /// is the first one that its statement does not exclude.
     [[nodiscard]] const std::vector<NodeName> &ownerCandidates(const WorkspaceName &workspace) const;
 
     /// Share of the workspace's rate that is pledged to this node, 0 to 1.
     [[nodiscard]] double pledgedShare(const WorkspaceName &workspace) const;
 
+    /// Number of nodes whose statement is not counted because they know other nodes than this one.
+    [[nodiscard]] std::size_t differingViews() const;
+
 private:
     struct CandidateList {
         std::vector<std::string> scores; ///< Hashes of the nodes at the same index, ascending.
@@ -49,9 +60,9 @@
     CandidateList &candidateList(const WorkspaceName &workspace) const;
 
     NodeName m_self;
-    std::size_t m_registered = 1;
-    std::set<NodeName> m_candidates;
-    std::vector<NodeReachability> m_reachability;
+    std::set<NodeName> m_registered;
+    std::uint64_t m_registeredDigest = 0;
+    std::vector<OwnerStatement> m_statements;
     mutable std::map<WorkspaceName, CandidateList> m_candidateLists;
 };
 
--- a/src/rootadmission/tests/workspaceratelimiter_tests.cpp
+++ b/src/rootadmission/tests/workspaceratelimiter_tests.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <numeric>
+#include <optional>
 
 #include <CppUTest/TestHarness.h>
 
@@ -67,6 +68,8 @@
     std::map<WorkspaceName, RateLimit> limits;
     std::deque<Message> network;
     Partition side = noPartition;
+    std::optional<NodeName> leaving; ///< A node that is leaving according to the stale copies of the registry.
+    std::optional<NodeName> missing; ///< A node that the stale copies of the registry lack.
     double loss = 0;
     TimePoint now = Start;
     TimePoint updateAt = Start;
@@ -98,29 +101,62 @@
         exchangeReachability();
     }
 
-    /// Updates every node with the reachability that the nodes on its side see.
+    /// Updates every node with the statements of the nodes on its side.
     void exchangeReachability()
     {
         const int count = static_cast<int>(names.size());
         for (int i = 0; i < count; ++i) {
-            std::vector<NodeReachability> reachability;
+            std::vector<OwnerStatement> statements;
             for (int other = 0; other < count; ++other) {
                 if (side(other) != side(i)) {
                     continue;
                 }
-                NodeReachability entry{names[other], {}};
+                OwnerStatement entry{names[other], leavingTo(other), digestOf(registeredAt(other))};
                 for (int third = 0; third < count; ++third) {
                     if (side(third) != side(other)) {
-                        entry.unresponsive.insert(names[third]);
+                        entry.notOwners.insert(names[third]);
                     }
                 }
-                reachability.push_back(std::move(entry));
+                statements.push_back(std::move(entry));
             }
-            const std::set<NodeName> all(names.begin(), names.end());
-            limiters[i]->update(all, all, std::move(reachability), now);
+            limiters[i]->update(registeredAt(i), std::move(statements), now);
         }
     }
 
+    /// Whether a node's copy of the registry is stale, as it is at half of the nodes, among them the second owner.
+    bool isStale(int node) const
+    {
+        RateOwnership ownership(names[0]);
+        const std::set<NodeName> all(names.begin(), names.end());
+        ownership.setNodes(all);
+        const auto second = std::find(names.begin(), names.end(), ownership.ownerCandidates(Acme).at(1));
+        return node % 2 == (second - names.begin()) % 2;
+    }
+
+    /// The nodes in a node's copy of the registry.
+    std::set<NodeName> registeredAt(int node) const
+    {
+        std::set<NodeName> registered(names.begin(), names.end());
+        if (missing && isStale(node) && names[node] != *missing) {
+            registered.erase(*missing);
+        }
+        return registered;
+    }
+
+    /// The nodes that are leaving according to a node's copy of the registry.
+    std::set<NodeName> leavingTo(int node) const
+    {
+        return leaving && isStale(node) && names[node] != *leaving ? std::set<NodeName>{*leaving} : std::set<NodeName>{};
+    }
+
+    /// Runs a flood of the whole fleet and returns by how much the admitted requests exceed the bound.
+    double excessInFlood(const RateLimit &limit)
+    {
+        run(12s, spread(8 * limit.ratePerSecond));
+        CHECK(admitted >= 0.4 * limit.ratePerSecond * 12);
+        return maxInWindow - bound(limit);
+    }
+
     /// Replaces all nodes by new ones, which know nothing of the earlier ones. They learn of the fleet with the next
     /// exchange of the reachability.
     void restartAll()
@@ -270,6 +306,27 @@
     CHECK(admitted >= 0.9 * 455 * 12);
 }
 
+// Guards against two owners that grant the whole rate each while some nodes have not learned yet that the first one is
+// back after a restart (QUOTA).
+TEST(WorkspaceRateLimiter, aRestartedOwnerThatSomeNodesTakeForLeavingDoesNotDoubleTheRate)
+{
+    const RateLimit limit{.ratePerSecond = 300, .burst = 300};
+    build(14, limit);
+    run(3s, spread(100));
+    leaving = limiters[0]->owner(Acme, now);
+    CHECK(excessInFlood(limit) <= 0);
+}
+
+// Guards against two owners that grant the whole rate each while some nodes have not learned of the first one (QUOTA).
+TEST(WorkspaceRateLimiter, anOwnerThatSomeNodesDoNotKnowDoesNotDoubleTheRate)
+{
+    const RateLimit limit{.ratePerSecond = 300, .burst = 300};
+    build(14, limit);
+    run(3s, spread(100));
+    missing = limiters[0]->owner(Acme, now);
+    CHECK(excessInFlood(limit) <= 0);
+}
+
 TEST(WorkspaceRateLimiter, allSidesOfAPartitionTogetherStayWithinTheBound)
 {
     const RateLimit limit{.ratePerSecond = PartitionedRate, .burst = PartitionedRate};
@@ -403,15 +460,15 @@
     /// Sum of the pledged shares of all nodes, given a function that returns the nodes that are unresponsive to a node.
     double sumOfPledgedShares(const std::function<std::set<NodeName>(const NodeName &)> &unresponsiveTo)
     {
-        std::vector<NodeReachability> reachability;
+        std::vector<OwnerStatement> statements;
         for (const NodeName &node : all) {
-            reachability.push_back({node, unresponsiveTo(node)});
+            statements.push_back({node, unresponsiveTo(node), digestOf(all)});
         }
         double sum = 0;
         for (const NodeName &node : all) {
             RateOwnership ownership(node);
-            ownership.setNodes(all, all);
-            ownership.setReachability(reachability);
+            ownership.setNodes(all);
+            ownership.setStatements(statements);
             sum += ownership.pledgedShare(Acme);
         }
         return sum;
@@ -444,7 +501,7 @@
 TEST(RateOwnership, aNewNodeTakesOverFewWorkspaces)
 {
     RateOwnership ownership(NodeName("n0"));
-    ownership.setNodes(all, all);
+    ownership.setNodes(all);
     std::map<WorkspaceName, NodeName> before;
     for (int i = 0; i < 200; ++i) {
         const WorkspaceName workspace("w" + std::to_string(i));
@@ -452,7 +509,7 @@
     }
     std::set<NodeName> more = all;
     more.insert(NodeName("late"));
-    ownership.setNodes(more, more);
+    ownership.setNodes(more);
     int moved = 0;
     for (const auto &[workspace, owner] : before) {
         const NodeName after = ownership.ownerCandidates(workspace).front();
--- a/src/rootadmission/workspaceratelimiter.h
+++ b/src/rootadmission/workspaceratelimiter.h
@@ -50,12 +50,9 @@
     /// Returns a token that was granted for a request that did not run.
     void refund(const WorkspaceName &workspace);
 
-    /// Updates the owners and pledged shares from the reachability of the nodes, and sends refunded tokens to the
-    /// owners.
-    void update(const std::set<NodeName> &registered,
-                const std::set<NodeName> &candidates,
-                std::vector<NodeReachability> reachability,
-                TimePoint now);
+    /// Updates the owners and pledged shares from the recent statements of the nodes, this node's own included, and
+    /// sends refunded tokens to the owners.
+    void update(const std::set<NodeName> &registered, std::vector<OwnerStatement> statements, TimePoint now);
 
     void onAsk(const RateAsk &ask, TimePoint now);
     void onGrant(const RateGrant &grant, TimePoint now);
@@ -68,6 +65,12 @@
     /// share.
     [[nodiscard]] std::map<WorkspaceName, double> pledgedShares() const;
 
+    /// Number of nodes whose pledges are not counted because they know other nodes than this one.
+    [[nodiscard]] std::size_t differingViews() const
+    {
+        return m_ownership.differingViews();
+    }
+
     /// The node that this node would ask for the workspace's tokens.
     [[nodiscard]] NodeName owner(const WorkspaceName &workspace, TimePoint now) const;
 
@@ -104,7 +107,7 @@
     RateOwnership m_ownership;
     bool m_ownersKnown = false; ///< Whether update() was called.
     std::uint64_t m_lastAskId; ///< Starts at a random value, so that owners distinguish asks of two starts of a node.
-    std::set<NodeName> m_unresponsive; ///< Nodes that are unresponsive to this node.
+    std::set<NodeName> m_notOwners; ///< Nodes that this node's own statement excludes.
     std::map<NodeName, TimePoint> m_avoidUntil; ///< Times until which owners that did not answer are not asked.
     std::map<WorkspaceName, WorkspaceState> m_workspaces;
     std::map<std::pair<NodeName, WorkspaceName>, AnsweredAsk> m_answered; ///< Last answered ask by node and workspace.
--- a/src/wire/internal/reportcodec.cpp
+++ b/src/wire/internal/reportcodec.cpp
@@ -60,6 +60,11 @@
     for (unsigned index = 0; index < in.silent.size(); ++index) {
         silent.set(index, in.silent[index].value);
     }
+    auto leaving = out.initLeaving(in.leaving.size());
+    for (unsigned index = 0; index < in.leaving.size(); ++index) {
+        leaving.set(index, in.leaving[index].value);
+    }
+    out.setRegisteredDigest(in.registeredDigest);
 }
 
 NodeReport readNodeReport(schema::NodeReport::Reader in)
@@ -85,6 +90,10 @@
     for (const auto node : in.getSilent()) {
         out.silent.emplace_back(toString(node));
     }
+    for (const auto node : in.getLeaving()) {
+        out.leaving.emplace_back(toString(node));
+    }
+    out.registeredDigest = in.getRegisteredDigest();
     return out;
 }
 
--- a/src/wire/nodeprotocol.capnp
+++ b/src/wire/nodeprotocol.capnp
@@ -241,6 +241,8 @@
   loads @7 :List(RouteLoad);
   edges @8 :List(CallEdge);
   silent @9 :List(Text);
+  leaving @10 :List(Text);
+  registeredDigest @11 :UInt64;
 }
 
 struct ReportBundle {
--- a/src/wire/tests/codec_tests.cpp
+++ b/src/wire/tests/codec_tests.cpp
@@ -115,6 +115,8 @@
     report.loads = {{RouteName("r"), 2.5, 0.25}};
     report.edges = {{RouteName("r"), RouteName("s"), 4}};
     report.silent = {NodeName("n2"), NodeName("n3")};
+    report.leaving = {NodeName("n4")};
+    report.registeredDigest = 0xfedcba9876543210;
     for (const std::string &bytes : {encodePackedFrame(report), encodePackedFrame(CallCancel{7})}) {
         CHECK(decodePackedFrame(bytes).has_value());
         for (std::size_t length = 0; length < bytes.size(); ++length) {
@@ -128,6 +130,8 @@
     DOUBLES_EQUAL(0.25, copy.loads.at(0).workSeconds, 1e-6);
     STRCMP_EQUAL("s", copy.edges.at(0).callee.value.c_str());
     STRCMP_EQUAL("n3", copy.silent.at(1).value.c_str());
+    STRCMP_EQUAL("n4", copy.leaving.at(0).value.c_str());
+    CHECK(copy.registeredDigest == 0xfedcba9876543210);
     CHECK(encodePackedFrame(report).size() < encodeFrame(report).size());
     const Frame probe = decodeFrame(encodeFrame(LinkProbe{.sequence = 5, .answer = true})).value();
     CHECK(std::get<LinkProbe>(probe).answer);
