Answer all requests before a stopped node exits

Cause: the shutdown limited the time of requests received during it, not of those received before.

Change: the deadlines of stored requests end 50 ms before the exit; what has provably not run is answered 503 with Retry-After, the rest 504. Queued calls of other nodes are refused as not run when the node stops taking calls.

Result: requestsThatWaitInQueuesAreAnsweredBeforeTheNodeStops fails on the code before (1 of 2 answered when the node stops) and passes now; callsInTheQueueOfAStoppedNodeAreRefusedAsNotRun was refused only by the time limit of the queue before, 9 s later, and now while the node runs.

--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -43,7 +43,7 @@
     Result<void> listen(const Endpoint &endpoint) override;
     OutgoingCallId call(const Endpoint &node, CallRequest request, PeerCompletion completion) override;
     OutgoingCallId watchTable(const Endpoint &node, TableWatch watch, PeerTableCompletion completion) override;
-    void cancel(OutgoingCallId call) override;
+    RunState cancel(OutgoingCallId call) override;
     void reply(PeerCallId call, CallReply reply) override;
     void replyTable(PeerCallId call, TableChanges changes) override;
     void send(const std::vector<Endpoint> &nodes, const PeerDatagram &message) override;
@@ -373,23 +373,26 @@
     completion(outcome, std::move(reply));
 }
 
-void PeerLink::cancel(OutgoingCallId call)
+RunState PeerLink::cancel(OutgoingCallId call)
 {
     const auto entry = m_outgoing.find(call);
     if (entry == m_outgoing.end()) {
-        return;
+        return RunState::Unknown;
     }
     const auto found = m_peers.find(entry->second.node);
     m_outgoing.erase(entry);
     if (found == m_peers.end()) {
-        return; // The connection has failed, and its calls are being completed.
+        return RunState::Unknown; // The connection has failed, and its calls are being completed.
     }
     Peer &peer = found->second;
-    peer.unsent.erase(call);
+    if (peer.unsent.erase(call) == 1) {
+        return RunState::NotRun;
+    }
     if (peer.inFlight.erase(call) == 1 && peer.connection) {
         peer.lastCancelAt = m_clock.now();
         peer.connection->send(CallCancel{call.value});
     }
+    return RunState::Unknown;
 }
 
 void PeerLink::onRequestFrame(const FramePointer &connection, Frame frame)
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -72,8 +72,9 @@
     /// Sends a table watch; the completion is called as for call().
     virtual OutgoingCallId watchTable(const Endpoint &node, TableWatch watch, PeerTableCompletion completion) = 0;
 
-    /// Cancels a call or watch and notifies the node. Unknown calls are ignored.
-    virtual void cancel(OutgoingCallId call) = 0;
+    /// Cancels a call or watch and notifies the node. Unknown calls are ignored. Returns NotRun if no byte of the call
+    /// was sent, otherwise Unknown.
+    virtual RunState cancel(OutgoingCallId call) = 0;
 
     /// Answers a call. Abandoned calls are ignored.
     virtual void reply(PeerCallId call, CallReply reply) = 0;
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -53,9 +53,23 @@
     m_refusingNewRequests = true;
 }
 
-void EgressProxy::limitDeadlines(TimePoint latest)
+void EgressProxy::limitDeadlines(TimePoint latestOfStored, TimePoint latestOfNew)
 {
-    m_latestDeadline = latest;
+    m_latestDeadline = latestOfNew;
+    for (auto &[id, request] : m_requests) {
+        if (request.deadline > latestOfStored) {
+            m_dependencies.loop.cancel(request.deadlineTimer);
+            request.deadline = latestOfStored;
+            startDeadlineTimer(id, request);
+        }
+    }
+}
+
+void EgressProxy::startDeadlineTimer(RequestId id, Request &request)
+{
+    request.deadlineTimer = m_dependencies.loop.callAfter(request.deadline - m_dependencies.clock.now(), [this, id] {
+        onTimeout(id);
+    });
 }
 
 std::map<RouteName, int> EgressProxy::popOfferedCounts()
@@ -81,9 +95,7 @@
     }
     prepareCall(std::move(http), request);
     const RequestId id{++m_lastRequestId};
-    request.deadlineTimer = m_dependencies.loop.callAfter(request.deadline - request.receivedAt, [this, id] {
-        onTimeout(id);
-    });
+    startDeadlineTimer(id, request);
     m_exchanges[exchange] = id;
     const WorkspaceName workspace = request.workspace;
     m_requests.emplace(id, std::move(request));
@@ -134,7 +146,8 @@
         left = std::min(left,
                         std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(callerLeftMs)));
     }
-    request.deadline = std::min(now + left, m_latestDeadline);
+    request.callerDeadline = now + left;
+    request.deadline = std::min(request.callerDeadline, m_latestDeadline);
     if (route->services.empty()) {
         return makeRejection(request, 503, RefusalKind::NotReady);
     }
@@ -178,7 +191,7 @@
 EgressProxy::Rejection
 EgressProxy::makeRejection(const Request &request, int status, RefusalKind kind, Duration expectedWait)
 {
-    const Duration left = std::max(request.deadline - m_dependencies.clock.now(), Duration{0});
+    const Duration left = std::max(request.callerDeadline - m_dependencies.clock.now(), Duration{0});
     return {status,
             kind,
             retryAfter({.timeLeft = left, .targetLatency = request.targetLatency, .expectedWait = expectedWait},
@@ -197,7 +210,7 @@
         // The key may have been withdrawn since the last confirmation.
         return Rejection{503,
                          RefusalKind::StoreUnavailable,
-                         retryAfter({.timeLeft = request.deadline - request.receivedAt}, m_dependencies.random)};
+                         retryAfter({.timeLeft = request.callerDeadline - request.receivedAt}, m_dependencies.random)};
     }
     const TrafficWorkspace *workspace = m_routeTable.workspaceOf(http.header(m_dependencies.settings.headers.key));
     if (workspace == nullptr) {
@@ -409,7 +422,12 @@
 {
     Request &request = m_requests.at(id);
     request.deadlineTimer = 0;
-    cancelAttempt(request);
+    const bool notRun = cancelAttempt(request) == RunState::NotRun && request.possibleRuns == 0;
+    if (notRun && m_dependencies.clock.now() < request.callerDeadline) {
+        // This node stops before the caller's time is over; another node can still serve the request.
+        fail(id, 503, RefusalKind::Draining, UnknownWait);
+        return;
+    }
     fail(id, 504, RefusalKind::DeadlineExceeded, UnknownWait);
 }
 
@@ -457,7 +475,7 @@
     m_dependencies.metrics.countRefusal(kind, PriorityClass::Interactive);
     const bool notRun = status == 503;
     const Duration wait = notRun
-        ? retryAfter({.timeLeft = std::max(request.deadline - now, Duration{0}),
+        ? retryAfter({.timeLeft = std::max(request.callerDeadline - now, Duration{0}),
                       .targetLatency = std::max(request.targetLatency - (now - request.receivedAt), Duration{0}),
                       .expectedWait = expectedWait},
                      m_dependencies.random)
@@ -506,7 +524,8 @@
     cancelAttempt(abandoned);
 }
 
-void EgressProxy::cancelAttempt(Request &request)
+/// Returns NotRun if the current attempt, if any, has not run and will not run.
+RunState EgressProxy::cancelAttempt(Request &request)
 {
     const OutgoingCallId outgoingCall = std::exchange(request.outgoingCall, {});
     const TicketId localTicket = std::exchange(request.localTicket, {});
@@ -514,11 +533,9 @@
         m_dependencies.directory.finish(request.node, CallOutcome::Served, m_dependencies.clock.now());
     }
     if (outgoingCall.value != 0) {
-        m_link->cancel(outgoingCall);
-    }
-    if (localTicket.value != 0) {
-        m_dependencies.ingress.abandon(localTicket);
+        return m_link->cancel(outgoingCall);
     }
+    return localTicket.value != 0 ? m_dependencies.ingress.abandon(localTicket) : RunState::NotRun;
 }
 
 void EgressProxy::removeRequest(RequestId id)
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -72,8 +72,8 @@
 
     void refuseNewRequests();
 
-    /// Ends the time limit of requests received from now on at the given time at the latest.
-    void limitDeadlines(TimePoint latest);
+    /// Ends the time limit of the stored requests, and of those received from now on, at the given times at the latest.
+    void limitDeadlines(TimePoint latestOfStored, TimePoint latestOfNew);
 
 private:
     struct Request {
@@ -91,6 +91,7 @@
         TimePoint receivedAt;
         Duration targetLatency{0};
         TimePoint deadline;
+        TimePoint callerDeadline; ///< When the caller stops waiting; later than the deadline during a shutdown.
         EventLoop::TimerId deadlineTimer = 0;
         CallRequest call;
         std::set<NodeName> triedNodes;
@@ -126,7 +127,8 @@
     IRetryBudget &retryBudget(const Request &request);
     void sendAnswer(RequestId id, CallReply reply);
     void fail(RequestId id, int status, RefusalKind kind, Duration expectedWait);
-    void cancelAttempt(Request &request);
+    void startDeadlineTimer(RequestId id, Request &request);
+    RunState cancelAttempt(Request &request);
     void removeRequest(RequestId id);
 
     NodeDependencies m_dependencies;
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -332,23 +332,24 @@
     }
 }
 
-void IngressProxy::abandon(TicketId ticket)
+RunState IngressProxy::abandon(TicketId ticket)
 {
     const auto entry = m_calls.find(ticket);
     if (entry == m_calls.end()) {
-        return;
+        return RunState::Unknown;
     }
     Call &call = entry->second;
     call.completion = nullptr;
     if (!call.started) {
         m_slotQueue.cancel(ticket);
         popCall(ticket);
-        return;
+        return RunState::NotRun;
     }
     if (call.request.idempotent) {
         m_client->cancel(call.upstreamCall);
         release(ticket, false);
     }
+    return RunState::Unknown;
 }
 
 AnnouncementVerdict IngressProxy::announce(const InstanceAnnouncement &announcement)
@@ -397,7 +398,10 @@
 
 void IngressProxy::refuseNewCalls()
 {
-    m_refusingNewCalls = true;
+    if (!m_refusingNewCalls) {
+        m_refusingNewCalls = true;
+        refuseQueued(RefusalKind::Draining);
+    }
 }
 
 /// Refuses queued calls that have waited too long and starts those for which the instance's request rate has left room.
--- a/src/proxy/internal/ingressproxy.h
+++ b/src/proxy/internal/ingressproxy.h
@@ -30,14 +30,13 @@
     TicketId offer(CallRequest request, IngressCompletion completion);
 
     /// Records that the sender no longer waits for the reply. A queued call is removed and a running idempotent one is
-    /// cancelled; other running calls continue.
-    void abandon(TicketId ticket);
+    /// cancelled; other running calls continue. Returns NotRun if the call was queued, otherwise Unknown.
+    RunState abandon(TicketId ticket);
 
     AnnouncementVerdict announce(const InstanceAnnouncement &announcement);
     AnnouncementVerdict withdraw(const std::string &id, std::uint64_t startedAtMs);
 
-    /// Refuses new calls from now on. Running calls continue; calls that are still queued when one finishes are
-    /// refused.
+    /// Refuses the queued calls and from now on new ones, as not run. Running calls continue.
     void refuseNewCalls();
 
     [[nodiscard]] bool accepts() const;
--- a/src/proxy/internal/shutdownplan.cpp
+++ b/src/proxy/internal/shutdownplan.cpp
@@ -19,6 +19,8 @@
 constexpr Duration MaxAcceptRequestsTime = std::chrono::milliseconds(2850);
 /// Time before the exit at which the instances that run requests taken during the shutdown must have answered.
 constexpr Duration AnswerReturnTime = std::chrono::milliseconds(150);
+/// Time before the exit at which all requests have been answered, so that the answers can still be sent.
+constexpr Duration AnswerSendTime = std::chrono::milliseconds(50);
 /// Time before the end of the grace period at which the process exits even if it is not idle.
 constexpr Duration ExitMargin = std::chrono::milliseconds(350);
 
@@ -45,6 +47,11 @@
     return std::max(m_grace - ExitMargin - AnswerReturnTime, Duration{0});
 }
 
+Duration ShutdownPlan::lastAnswerTime() const
+{
+    return std::max(m_grace - ExitMargin - AnswerSendTime, Duration{0});
+}
+
 bool ShutdownPlan::shouldExit(Duration elapsed, bool idle) const
 {
     return (elapsed > CallerDrainTime && idle) || elapsed > m_grace - ExitMargin;
--- a/src/proxy/internal/shutdownplan.h
+++ b/src/proxy/internal/shutdownplan.h
@@ -22,6 +22,10 @@
     /// request off without an answer.
     [[nodiscard]] Duration requestTimeLimit() const;
 
+    /// Time from the start of the shutdown until which the requests taken before it must be answered, if only with a
+    /// refusal. Later than requestTimeLimit(): their instances were given other time limits and may answer until then.
+    [[nodiscard]] Duration lastAnswerTime() const;
+
     /// Whether the process should exit now.
     [[nodiscard]] bool shouldExit(Duration elapsed, bool idle) const;
 
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -323,7 +323,8 @@
     m_shutdownCompletion = std::move(done);
     m_shutdownStartedAt = m_clock.now();
     m_server->startDraining();
-    m_egress.limitDeadlines(m_shutdownStartedAt + ShutdownPlan(m_settings.shutdownGrace).requestTimeLimit());
+    const ShutdownPlan plan(m_settings.shutdownGrace);
+    m_egress.limitDeadlines(m_shutdownStartedAt + plan.lastAnswerTime(), m_shutdownStartedAt + plan.requestTimeLimit());
     m_control.leave();
     checkShutdown();
 }
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -179,14 +179,14 @@
     std::unique_ptr<ITrafficNode> nearNode;
     std::unique_ptr<ITrafficNode> farNode;
     Endpoint callerEndpoint;
+    Endpoint farCallerEndpoint;
     std::unique_ptr<IHttpClient> client = makeHttpClient(loop, {});
     std::vector<ClientResult> results;
 
     void setup() override
     {
         nearNode = makeNode("near", "desk", nearInstance, callerEndpoint);
-        Endpoint unused;
-        farNode = makeNode("far", "parts", farInstance, unused);
+        farNode = makeNode("far", "parts", farInstance, farCallerEndpoint);
         CHECK(nearNode->start().has_value());
         CHECK(farNode->start().has_value());
     }
@@ -589,6 +589,67 @@
     LONGS_EQUAL(200, results.back().response.status);
 }
 
+// Guards against requests that wait in a queue when their node is stopped and never get an answer (LOST).
+TEST(TrafficNode, requestsThatWaitInQueuesAreAnsweredBeforeTheNodeStops)
+{
+    bringUp();
+    farInstance.unresponsive = true;
+    InstanceAnnouncement oneSlot = announcement("parts", farInstance);
+    oneSlot.slots = 1;
+    farNode->announce(oneSlot);
+    results.clear();
+    start("GET", "/read/1", {{"Key", "k1"}});
+    CHECK(runUntil([this] {
+        return farInstance.exchanges.size() == 1;
+    }));
+    start("GET", "/read/2", {{"Key", "k1"}}); // Waits in the queue of the far node.
+    ProxySettings settings;
+    settings.shutdownGrace = 2s;
+    settings.keyGrace = 100s;
+    nearNode->updateSettings(settings);
+    std::size_t answeredBeforeStop = 0;
+    bool stopped = false;
+    nearNode->shutDown([&] {
+        stopped = true;
+        answeredBeforeStop = results.size();
+    });
+    CHECK(runUntil([&stopped] {
+        return stopped;
+    }));
+    LONGS_EQUAL(2, answeredBeforeStop);
+    for (const ClientResult &result : results) {
+        CHECK(result.response.status == 503 || result.response.status == 504);
+    }
+    LONGS_EQUAL(1, farInstance.exchanges.size());
+}
+
+// Guards against calls that wait in the queue of a stopped node and are cut off, although they have not run (LOST).
+TEST(TrafficNode, callsInTheQueueOfAStoppedNodeAreRefusedAsNotRun)
+{
+    bringUp();
+    farInstance.unresponsive = true;
+    InstanceAnnouncement oneSlot = announcement("parts", farInstance);
+    oneSlot.slots = 1;
+    farNode->announce(oneSlot);
+    results.clear();
+    start("POST", "/write/1", {{"Key", "k1"}});
+    CHECK(runUntil([this] {
+        return farInstance.exchanges.size() == 1;
+    }));
+    start("POST", "/write/2", {{"Key", "k1"}}); // Waits in the queue of the far node.
+    bool stopped = false;
+    farNode->shutDown([&stopped] {
+        stopped = true;
+    });
+    CHECK(runUntil([this] {
+        return !results.empty();
+    }));
+    CHECK(!stopped);
+    LONGS_EQUAL(503, results.front().response.status);
+    CHECK(!headerValue(results.front().response.headers, "Retry-After").empty());
+    LONGS_EQUAL(1, farInstance.exchanges.size());
+}
+
 TEST(TrafficNode, shutdownFinishesRequestsInFlight)
 {
     bringUp();
