Limit every part of a message's framing that a parser keeps

Cause: heads and bodies are limited, but an incomplete line of a chunked body's framing and the fields after the last chunk are kept whole by the parsers, in responses and in requests; in vanillatackd also heads of responses.

Change: unparsed bytes are limited to the size of a head, in both directions and both programs, with a log line or status 431.

Result: chunkFramingWithoutEndIsCutOff gets no result within 60 s on the code before; the two tests of vanillatackd take 100 MiB there. All pass now.

--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -25,6 +25,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr Log ClientLog("http");
+/// Also the limit of each line of a chunked body's framing, and of the fields after its last chunk.
 constexpr std::uint32_t MaxHeadBytes = 32768;
 /// The kernel closes a connection whose sent bytes stay unacknowledged for this time.
 constexpr Duration TcpUserTimeout = std::chrono::seconds(3);
@@ -283,10 +284,15 @@
             complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
             return;
         }
-        if (error == http::error::need_more) {
+        const bool framingTooLong = connection->input.size() > MaxHeadBytes;
+        if (error == http::error::need_more && !framingTooLong) {
             return;
         }
         if (error) {
+            // The parser keeps the bytes of a line, or of the fields after the last chunk, until it is complete.
+            ClientLog.warning("A response cannot be read; its connection is closed. Check the server.",
+                              {{"server", connection->server.text()},
+                               {"error", framingTooLong ? "a line of its framing is too long" : error.message()}});
             close(connection);
             complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
             return;
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -339,13 +339,16 @@
             refuse(connection, 503);
             return;
         }
-        if (error == http::error::need_more) {
+        // The parser keeps the bytes of a line of a chunked body, or of the fields after its last chunk, until it is
+        // complete.
+        const bool framingTooLong = connection->input.size() > m_limits.headBytes;
+        if (error == http::error::need_more && !framingTooLong) {
             return;
         }
         if (error) {
             const bool tooLarge = error == http::error::body_limit;
             const bool headTooLarge = error == http::error::header_limit;
-            refuse(connection, tooLarge ? 413 : headTooLarge ? 431 : 400);
+            refuse(connection, tooLarge ? 413 : headTooLarge || framingTooLong ? 431 : 400);
             return;
         }
         if (connection->parser->is_done() && !dispatchRequest(connection)) {
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -415,6 +415,18 @@
     STRCMP_CONTAINS("413", exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n").c_str());
 }
 
+// Guards against memory that grows as long as a caller sends bytes that end no line of a chunked body.
+TEST(HttpServer, chunkFramingWithoutEndIsRefused)
+{
+    const std::string head = "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string start : {"3;a=", "0;a=", "0\r\nX-Filler: "}) {
+        RawConnection connection(loop, server->port());
+        connection.send(head + start);
+        connection.sendUntilClosed(std::string(1000, 'x'));
+    }
+    LONGS_EQUAL(0, listener.requests.size());
+}
+
 TEST(HttpServer, refusesRequestsBeyondTheSharedBufferLimit)
 {
     server->setLimits({.bodyBytes = 1 << 20, .bufferedBytes = 100'000});
@@ -620,6 +632,22 @@
     CHECK(waitForResult().outcome == ClientOutcome::Broken);
 }
 
+// Guards against memory that grows as long as a faulty server sends bytes that end no line of a chunked body.
+TEST(HttpClient, chunkFramingWithoutEndIsCutOff)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1000, 'x');
+    for (const auto &[start, repeated] : std::vector<std::pair<std::string, std::string>>{
+             {"3;a=", filler}, {"0;a=", filler}, {"0\r\nX-Filler: ", filler}, {"0\r\n", "X-Filler: " + filler + "\r\n"}}) {
+        const std::size_t before = results.size();
+        send();
+        RawConnection connection = accept();
+        connection.send(head + start);
+        connection.sendUntilClosed(repeated);
+        CHECK(waitForResult(before + 1).outcome == ClientOutcome::Broken);
+    }
+}
+
 // Guards against memory that grows as long as a faulty server sends a body.
 TEST(HttpClient, aBodyWithoutEndIsCutOff)
 {
--- a/src/transport/internal/threadedhttpserver.cpp
+++ b/src/transport/internal/threadedhttpserver.cpp
@@ -194,10 +194,20 @@
         const auto withBody =
             [this](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader) {
                 std::string body;
-                const bool complete = reader([&body](const char *data, std::size_t size) {
+                // cpp-httplib keeps each line of a chunked body's framing until it is complete.
+                const bool chunked = request.has_header("Transfer-Encoding");
+                const auto limitFraming = [this, chunked] {
+                    if (chunked) {
+                        currentRequest.stream->limitHead(m_settings.maxHeadBytes + CPPHTTPLIB_RECV_BUFSIZ);
+                    }
+                };
+                limitFraming();
+                const bool complete = reader([&body, &limitFraming](const char *data, std::size_t size) {
+                    limitFraming();
                     body.append(data, size);
                     return true;
                 });
+                currentRequest.stream->endHead();
                 if (complete) {
                     respond(toHttpRequest(request, std::move(body)), response);
                 }
--- a/src/transport/internal/upstreamclient.cpp
+++ b/src/transport/internal/upstreamclient.cpp
@@ -1,5 +1,6 @@
 #include "transport/upstreamclient.h"
 
+#include "base/log.h"
 #include "transport/internal/bufferedstream.h"
 
 #include <httplib.h>
@@ -14,6 +15,11 @@
 
 namespace {
 
+constexpr Log UpstreamLog("upstream");
+/// Bytes of a response's head, and of the framing between two parts of its body, with the largest part that the library
+/// reads at a time. cpp-httplib itself limits neither the number of headers nor the length of a chunk's line.
+constexpr std::size_t MaxFramingBytes = std::size_t{64} << 10;
+
 /// One connection to an upstream: cpp-httplib's client on a BufferedStream.
 class UpstreamConnection final : public httplib::ClientImpl
 {
@@ -37,6 +43,7 @@
         std::string body;
         bool tooLarge = false;
         out.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+            m_stream->limitHead(MaxFramingBytes);
             tooLarge = body.size() + size > maxBodyBytes;
             if (!tooLarge) {
                 body.append(data, size);
@@ -108,7 +115,16 @@
     {
         BufferedStream stream(socket.sock, m_cancelSocket);
         stream.setDeadline(m_deadline);
+        // Renewed for each part of the body, so that it limits the bytes between two parts as well.
+        stream.limitHead(MaxFramingBytes);
+        m_stream = &stream;
         const bool done = exchangeOnStream(stream);
+        m_stream = nullptr;
+        if (stream.headTooLarge()) {
+            UpstreamLog.warning("A response has more than " + std::to_string(MaxFramingBytes)
+                                    + " bytes of head or framing; its connection is closed. Check the upstream.",
+                                {{"upstream", m_upstream.text()}});
+        }
         m_answer.sentAnything = stream.sentAnything();
         m_answer.cancelled = stream.wasCancelled();
         m_answer.timedOut = stream.timedOut();
@@ -119,6 +135,7 @@
     const Duration m_connectTimeout;
     TimePoint m_deadline;
     int m_cancelSocket = NoSocket;
+    BufferedStream *m_stream = nullptr; ///< Set during an exchange.
     UpstreamAnswer m_answer;
 };
 
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -40,6 +40,9 @@
     std::string lastEncoding;
 };
 
+/// More than the buffers of the kernel take on both sides of a connection.
+constexpr std::size_t MaxSentBytes = std::size_t{100} << 20;
+
 TimePoint farDeadline()
 {
     return std::chrono::steady_clock::now() + std::chrono::seconds(20);
@@ -141,6 +144,20 @@
     CHECK(std::string(buffer).find("HTTP/1.1 200") == std::string::npos);
 }
 
+// Guards against memory that grows as long as a caller sends bytes that end no line of a chunked body.
+TEST(ThreadedHttpServer, framingWithoutEndIsRefused)
+{
+    const Result<Socket> socket = connectTcp({"127.0.0.1", server->port()}, std::chrono::seconds(5));
+    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;a=";
+    ::send(socket.value().descriptor(), head.data(), head.size(), MSG_NOSIGNAL);
+    const std::string filler(1000, 'x');
+    std::size_t sent = 0;
+    while (sent < MaxSentBytes && ::send(socket.value().descriptor(), filler.data(), filler.size(), MSG_NOSIGNAL) > 0) {
+        sent += filler.size();
+    }
+    CHECK(sent < MaxSentBytes);
+}
+
 // Guards against work that continues after the caller closed its connection.
 TEST(ThreadedHttpServer, hangUpOfTheCallerReachesTheHandler)
 {
@@ -271,6 +288,30 @@
     }
 }
 
+// Guards against memory that grows as long as a faulty upstream sends bytes that end no head and no line of a chunked
+// body.
+TEST(UpstreamClient, framingWithoutEndIsCutOff)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1000, 'x');
+    for (const auto &[start, repeated] : std::vector<std::pair<std::string, std::string>>{
+             {"", filler}, {"HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n"}, {chunked + "3;a=", filler}}) {
+        std::size_t sent = 0;
+        std::thread upstream([&] {
+            const int connection = server.accept();
+            RawServer::write(connection, start);
+            while (sent < MaxSentBytes && ::send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL) > 0) {
+                sent += repeated.size();
+            }
+            ::close(connection);
+        });
+        const UpstreamAnswer answer = client->send(server.endpoint, getRequest(), farDeadline(), NoSocket);
+        upstream.join();
+        CHECK(!answer.complete);
+        CHECK(sent < MaxSentBytes);
+    }
+}
+
 // Guards against an answer that a caller gets although it belongs to an earlier request of the connection.
 TEST(UpstreamClient, aConnectionWithASecondCopyOfAnAnswerIsNotUsedAgain)
 {
