Wait for unsent bytes of answers before a stopped node exits

Cause: the node counted as idle once its egress and ingress had no request in progress, while bytes of responses waited in the HTTP server and bytes of replies to other nodes in the link.

Change: both tell whether they hold unsent bytes, and an early exit needs that they hold none. node.stop records what was left at the exit.

Result: aStoppedNodeSendsTheRestOfAnswersToSlowCallers fails on the code before (the node stops within 3 s) and passes now.

--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -63,6 +63,10 @@
     /// Bytes of requests and responses in memory.
     [[nodiscard]] virtual std::size_t bufferedBytes() const = 0;
 
+    /// Whether a received request has no response yet, or bytes of a response have not been taken by the caller's
+    /// connection.
+    [[nodiscard]] virtual bool hasUnsentResponses() const = 0;
+
     [[nodiscard]] virtual std::uint16_t port() const = 0;
 };
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -108,6 +108,13 @@
         return m_bufferedBytes;
     }
 
+    [[nodiscard]] bool hasUnsentResponses() const override
+    {
+        return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+            return entry.second->sending || !entry.second->exchanges.empty();
+        });
+    }
+
     [[nodiscard]] std::uint16_t port() const override
     {
         error_code error;
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/ip/udp.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -46,6 +47,7 @@
     RunState cancel(OutgoingCallId call) override;
     void reply(PeerCallId call, CallReply reply) override;
     void replyTable(PeerCallId call, TableChanges changes) override;
+    [[nodiscard]] bool hasUnsentFrames() const override;
     void send(const std::vector<Endpoint> &nodes, const PeerDatagram &message) override;
 
 private:
@@ -216,6 +218,19 @@
     }
 }
 
+bool PeerLink::hasUnsentFrames() const
+{
+    return std::any_of(m_inbound.begin(),
+                       m_inbound.end(),
+                       [](const auto &entry) {
+                           return entry.first->backlog() > 0;
+                       })
+        || std::any_of(m_peers.begin(), m_peers.end(), [](const auto &entry) {
+               const FramePointer &connection = entry.second.connection;
+               return connection && connection->backlog() > 0;
+           });
+}
+
 OutgoingCallId PeerLink::call(const Endpoint &node, CallRequest request, PeerCompletion completion)
 {
     const OutgoingCallId id{++m_lastId};
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -80,6 +80,9 @@
     virtual void reply(PeerCallId call, CallReply reply) = 0;
     virtual void replyTable(PeerCallId call, TableChanges changes) = 0;
 
+    /// Whether bytes of calls or replies have not been taken by the connection to their node.
+    [[nodiscard]] virtual bool hasUnsentFrames() const = 0;
+
     /// Sends a datagram to each node. Datagrams can be lost.
     virtual void send(const std::vector<Endpoint> &nodes, const PeerDatagram &message) = 0;
 };
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -339,8 +339,15 @@
     if (!plan.acceptsRequests(elapsed)) {
         m_egress.refuseNewRequests();
     }
-    if (plan.shouldExit(elapsed, m_egress.inFlight() == 0 && m_ingress.inFlight() == 0)) {
-        m_decisions.record("node.stop", {{"requests", std::to_string(m_egress.inFlight())}});
+    const bool unsentResponses = m_server->hasUnsentResponses();
+    const bool unsentFrames = m_link->hasUnsentFrames();
+    const bool idle = m_egress.inFlight() == 0 && m_ingress.inFlight() == 0 && !unsentResponses && !unsentFrames;
+    if (plan.shouldExit(elapsed, idle)) {
+        m_decisions.record("node.stop",
+                           {{"requests", std::to_string(m_egress.inFlight())},
+                            {"calls", std::to_string(m_ingress.inFlight())},
+                            {"unsent_responses", unsentResponses ? "yes" : "no"},
+                            {"unsent_frames", unsentFrames ? "yes" : "no"}});
         m_shutdownCompletion();
         return;
     }
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -6,6 +6,7 @@
 #include "proxy/trafficnode.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -196,6 +197,14 @@
         close(logDescriptor);
     }
 
+    /// Replaces the nodes by new ones, for instance with other settings.
+    void rebuildNodes()
+    {
+        nearNode = nullptr;
+        farNode = nullptr;
+        setup();
+    }
+
     std::unique_ptr<ITrafficNode> makeNode(
         const std::string &name, const std::string &service, FakeInstance &instance, Endpoint &callerEndpointOut)
     {
@@ -210,7 +219,7 @@
         settings.logDescriptor = logDescriptor;
         settings.keyGrace = 100s;
         settings.announceInterval = 100s;
-        settings.bodyBudgetBytes = BodyBudgetBytes;
+        settings.bodyBudgetBytes = bodyBudgetBytes;
         callerEndpointOut = settings.callerEndpoint;
         return makeTrafficNode(loop, clock, random, store, metrics.metrics(), settings);
     }
@@ -302,6 +311,7 @@
         return results.back();
     }
 
+    std::size_t bodyBudgetBytes = BodyBudgetBytes;
     std::int64_t sequence = 0;
     int attempts = 0;
 };
@@ -650,6 +660,49 @@
     LONGS_EQUAL(1, farInstance.exchanges.size());
 }
 
+// Guards against answers that a planned stop cuts off because their caller reads slowly (LOST).
+TEST(TrafficNode, aStoppedNodeSendsTheRestOfAnswersToSlowCallers)
+{
+    constexpr std::size_t AnswerBytes = std::size_t{24} << 20; // More than the kernel takes.
+    bodyBudgetBytes = 2 * AnswerBytes;
+    rebuildNodes();
+    bringUp();
+    farInstance.answer.body = std::string(AnswerBytes, 'a');
+    boost::asio::ip::tcp::socket caller(loop.context());
+    caller.connect({boost::asio::ip::address_v4::loopback(), callerEndpoint.port});
+    boost::asio::write(caller,
+                       boost::asio::buffer(std::string("GET /read/1 HTTP/1.1\r\nHost: shop\r\nKey: k1\r\nAttempt: "
+                                                       "slow\r\n\r\n")));
+    CHECK(runUntil([&] {
+        return caller.available() > 0;
+    }));
+    bool stopped = false;
+    std::size_t received = 0;
+    const TimePoint stoppedAt = clock.now();
+    ProxySettings settings;
+    settings.shutdownGrace = 30s;
+    settings.keyGrace = 100s;
+    nearNode->updateSettings(settings);
+    nearNode->shutDown([&] {
+        stopped = true;
+    });
+    // Reads nothing until after the time at which an idle node stops.
+    CHECK(runUntil([&] {
+        return clock.now() - stoppedAt > 3s;
+    }));
+    CHECK(!stopped);
+    std::vector<char> chunk(1 << 20);
+    CHECK(runUntil([&] {
+        boost::system::error_code error;
+        received += caller.available() > 0 ? caller.read_some(boost::asio::buffer(chunk), error) : 0;
+        return received > AnswerBytes;
+    }));
+    CHECK(runUntil([&stopped] {
+        return stopped;
+    }));
+    CHECK(clock.now() - stoppedAt < 20s);
+}
+
 TEST(TrafficNode, shutdownFinishesRequestsInFlight)
 {
     bringUp();
