Remember the withdrawal of an instance that is not known yet

Cause: a restarted node acknowledges the withdrawal of an instance that it does not know without remembering it; an earlier status report that arrives late is then taken for the truth.

Change: such withdrawals are remembered for 30 s, the newest 64, and outdate announcements of the same start.

--- a/src/instance/internal/localinstance.cpp
+++ b/src/instance/internal/localinstance.cpp
@@ -1,9 +1,18 @@
 #include "instance/localinstance.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace vanillatack {
 
+namespace {
+
+/// Time for which announcements that were sent before a withdrawal can arrive after it.
+constexpr Duration LateAnnouncementTime = std::chrono::seconds(30);
+constexpr std::size_t MaxEarlyWithdrawals = 64;
+
+} // namespace
+
 LocalInstance::LocalInstance(ServiceName service, Endpoint address, Duration announcementTimeout)
     : m_service(std::move(service))
     , m_address(std::move(address))
@@ -16,6 +25,9 @@
     if (announcement.service != m_service || announcement.address != m_address) {
         return AnnouncementVerdict::Foreign;
     }
+    if (isWithdrawn(announcement, now)) {
+        return AnnouncementVerdict::Outdated;
+    }
     if (m_current) {
         const bool sameStart = announcement.startedAtMs == m_current->startedAtMs;
         const bool earlierStart = announcement.startedAtMs < m_current->startedAtMs;
@@ -35,9 +47,21 @@
     return AnnouncementVerdict::Accepted;
 }
 
-AnnouncementVerdict LocalInstance::withdraw(const std::string &id, std::uint64_t startedAtMs)
+bool LocalInstance::isWithdrawn(const InstanceAnnouncement &announcement, TimePoint now) const
+{
+    return std::any_of(m_earlyWithdrawals.begin(), m_earlyWithdrawals.end(), [&](const EarlyWithdrawal &withdrawal) {
+        return withdrawal.id == announcement.id && now - withdrawal.at <= LateAnnouncementTime
+            && (withdrawal.startedAtMs == 0 || announcement.startedAtMs <= withdrawal.startedAtMs);
+    });
+}
+
+AnnouncementVerdict LocalInstance::withdraw(const std::string &id, std::uint64_t startedAtMs, TimePoint now)
 {
     if (!m_current || m_current->id != id) {
+        m_earlyWithdrawals.push_back({id, startedAtMs, now});
+        if (m_earlyWithdrawals.size() > MaxEarlyWithdrawals) {
+            m_earlyWithdrawals.pop_front();
+        }
         return AnnouncementVerdict::Foreign;
     }
     if (startedAtMs != 0 && startedAtMs < m_current->startedAtMs) {
--- a/src/instance/localinstance.h
+++ b/src/instance/localinstance.h
@@ -5,6 +5,7 @@
 #include "model/ids.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -45,8 +46,9 @@
     AnnouncementVerdict announce(const InstanceAnnouncement &announcement, TimePoint now);
 
     /// Records that the instance has stopped or is about to stop; it receives no new requests until a later start is
-    /// announced. startedAtMs 0 means the current start.
-    AnnouncementVerdict withdraw(const std::string &id, std::uint64_t startedAtMs);
+    /// announced. startedAtMs 0 means the current start. The withdrawal of an instance that was not announced here is
+    /// Foreign, but remembered: this node may have been restarted, and an announcement sent earlier may still arrive.
+    AnnouncementVerdict withdraw(const std::string &id, std::uint64_t startedAtMs, TimePoint now);
 
     /// Records that the instance has said in a response that it is about to stop; the same as an announcement that it
     /// is draining.
@@ -67,11 +69,21 @@
     }
 
 private:
+    /// Withdrawal of an instance that was not announced here.
+    struct EarlyWithdrawal {
+        std::string id;
+        std::uint64_t startedAtMs = 0; ///< 0: any start.
+        TimePoint at;
+    };
+
+    [[nodiscard]] bool isWithdrawn(const InstanceAnnouncement &announcement, TimePoint now) const;
+
     ServiceName m_service;
     Endpoint m_address;
     Duration m_announcementTimeout;
     std::optional<InstanceAnnouncement> m_current;
     bool m_withdrawn = false;
+    std::deque<EarlyWithdrawal> m_earlyWithdrawals; ///< The newest ones, oldest first.
     bool m_unreachable = false;
     TimePoint m_lastReceivedAt;
 };
--- a/src/instance/tests/instance_tests.cpp
+++ b/src/instance/tests/instance_tests.cpp
@@ -109,7 +109,7 @@
     late.draining = true;
     CHECK(instance.announce(late, Start) == AnnouncementVerdict::Outdated);
     CHECK(instance.announce(announcement("i-2", 9, 4), Start) == AnnouncementVerdict::Outdated);
-    CHECK(instance.withdraw("i-1", 5) == AnnouncementVerdict::Foreign);
+    CHECK(instance.withdraw("i-1", 5, Start) == AnnouncementVerdict::Foreign);
     CHECK(instance.accepts(Start));
 }
 
@@ -142,13 +142,37 @@
 TEST(LocalInstance, withdrawalLastsUntilTheNextStart)
 {
     instance.announce(announcement("i-1", 5, 2), Start);
-    CHECK(instance.withdraw("i-1", 0) == AnnouncementVerdict::Accepted);
+    CHECK(instance.withdraw("i-1", 0, Start) == AnnouncementVerdict::Accepted);
     instance.announce(announcement("i-1", 5, 3), Start);
     CHECK(!instance.accepts(Start));
     instance.announce(announcement("i-2", 7, 1), Start);
     CHECK(instance.accepts(Start));
 }
 
+// Guards against an instance that has left and is used again because its node was restarted and knows it only from a
+// late announcement (DRAIN).
+TEST(LocalInstance, aLateAnnouncementDoesNotUndoAWithdrawalThatCameFirst)
+{
+    CHECK(instance.withdraw("i-1", 5, Start) == AnnouncementVerdict::Foreign);
+    CHECK(instance.withdraw("i-2", 0, Start) == AnnouncementVerdict::Foreign);
+    CHECK(instance.announce(announcement("i-1", 5, 9), Start + 4s) == AnnouncementVerdict::Outdated);
+    CHECK(instance.announce(announcement("i-2", 5, 9), Start + 4s) == AnnouncementVerdict::Outdated);
+    CHECK(!instance.accepts(Start + 4s));
+    CHECK(instance.announce(announcement("i-1", 6, 1), Start + 5s) == AnnouncementVerdict::Accepted);
+    CHECK(instance.accepts(Start + 5s));
+}
+
+TEST(LocalInstance, theMemoryOfWithdrawalsIsBounded)
+{
+    instance.withdraw("i-1", 5, Start);
+    for (int index = 0; index < 1000; ++index) {
+        instance.withdraw("other-" + std::to_string(index), 0, Start);
+    }
+    CHECK(instance.announce(announcement("i-1", 5, 9), Start) == AnnouncementVerdict::Accepted);
+    CHECK(instance.announce(announcement("other-999", 9, 9), Start) == AnnouncementVerdict::Outdated);
+    CHECK(instance.announce(announcement("other-999", 9, 9), Start + 60s) == AnnouncementVerdict::Accepted);
+}
+
 TEST(LocalInstance, otherServicesAndAddressesAreForeign)
 {
     InstanceAnnouncement other = announcement("i-1", 5, 1);
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -385,7 +385,7 @@
 
 AnnouncementVerdict IngressProxy::withdraw(const std::string &id, std::uint64_t startedAtMs)
 {
-    const AnnouncementVerdict verdict = m_instance.withdraw(id, startedAtMs);
+    const AnnouncementVerdict verdict = m_instance.withdraw(id, startedAtMs, m_clock.now());
     m_decisions.record("instance.withdrawn",
                        {{"instance", id},
                         {"started_ms", std::to_string(startedAtMs)},
