End store calls on silent connections when another call shows the silence

Cause: only idle connections were closed when a call was not answered, not those on which a long watch waited.

--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -61,6 +61,11 @@
     /// Closes the idle connections to the server.
     virtual void closeIdle(const Endpoint &server) = 0;
 
+    /// Closes the idle connections to the server, and ends as Broken the calls that were sent before the given time and
+    /// on whose connection nothing was received since. To be used when a call was not answered: what silenced its
+    /// connection may have silenced these too.
+    virtual void closeSilent(const Endpoint &server, TimePoint since) = 0;
+
     /// Number of connection attempts so far.
     [[nodiscard]] virtual std::uint64_t connectionsOpened() const = 0;
 };
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -50,6 +50,7 @@
     bool receivedStaleResponse = false;
     EventLoop::TimerId timer = 0;
     TimePoint idleUntil;
+    TimePoint lastActivity; ///< When the call was sent, or the last bytes were received.
     bool connected = false;
     bool sent = false; ///< A byte of the request may have reached the server.
     bool writing = false;
@@ -88,6 +89,7 @@
                       ClientCompletion completion) override;
     void cancel(ClientCallId call) override;
     void closeIdle(const Endpoint &server) override;
+    void closeSilent(const Endpoint &server, TimePoint since) override;
 
     [[nodiscard]] std::uint64_t connectionsOpened() const override
     {
@@ -140,6 +142,7 @@
     connection->output = serialize(request);
     connection->headRequest = request.method == "HEAD";
     connection->sent = false;
+    connection->lastActivity = m_clock.now();
     connection->timer = m_loop.callAfter(std::max(timeout, Duration{0}), [this, connection] {
         connection->timer = 0;
         ClientResult result;
@@ -261,6 +264,7 @@
             onReadError(connection, error);
             return;
         }
+        connection->lastActivity = m_clock.now();
         const auto room = connection->input.prepare(bytes);
         connection->input.commit(asio::buffer_copy(room, asio::buffer(receiveBuffer().data(), bytes)));
         onBytes(connection);
@@ -444,6 +448,21 @@
     }
 }
 
+void HttpClient::closeSilent(const Endpoint &server, TimePoint since)
+{
+    closeIdle(server);
+    std::vector<ConnectionPointer> silent;
+    for (const auto &[call, connection] : m_calls) {
+        if (connection->server == server && connection->lastActivity < since) {
+            silent.push_back(connection);
+        }
+    }
+    for (const ConnectionPointer &connection : silent) {
+        close(connection);
+        complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = connection->sent, .response = {}});
+    }
+}
+
 } // namespace
 
 std::unique_ptr<IHttpClient> makeHttpClient(EventLoop &loop, const HttpClientSettings &settings)
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -710,6 +710,28 @@
     CHECK(waitForResult().outcome == ClientOutcome::TimedOut);
 }
 
+// Guards against a call that waits for its whole time on a connection that has fallen silent for good, although another
+// call has shown it.
+TEST(HttpClient, callsOnSilentConnectionsEndWhenAnotherCallIsNotAnswered)
+{
+    const Endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    send("silent");
+    RawConnection first = accept();
+    send("active");
+    RawConnection second = accept();
+    const TimePoint since = SystemClock().now();
+    second.send("HTTP/1.1 200 OK\r\n");
+    runUntil(loop, [&] {
+        return SystemClock().now() > since + 20ms;
+    });
+    client->closeSilent(address, since);
+    LONGS_EQUAL(1, results.size());
+    CHECK(results.back().outcome == ClientOutcome::Broken);
+    CHECK(results.back().sentAnything);
+    second.send("Id: active\r\nContent-Length: 0\r\n\r\n");
+    CHECK(waitForResult(2).outcome == ClientOutcome::Complete);
+}
+
 TEST(HttpClient, aRefusedConnectionSendsNothing)
 {
     acceptor.close();
