Understand statements of nodes that learn of a membership change later

Cause: an owner of a rate did not count the pledges of nodes that knew other nodes than itself.

Change: the four last sets of registered nodes are remembered with their candidates, and a statement is read with the set that it names.

Result: pledgesOfNodesThatLearnOfAChangeLaterAreCounted.

--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -637,8 +637,11 @@
 {
     const std::string head = "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string filler(1000, 'x');
-    for (const auto &[start, repeated] : std::vector<std::pair<std::string, std::string>>{
-             {"3;a=", filler}, {"0;a=", filler}, {"0\r\nX-Filler: ", filler}, {"0\r\n", "X-Filler: " + filler + "\r\n"}}) {
+    for (const auto &[start, repeated] :
+         std::vector<std::pair<std::string, std::string>>{{"3;a=", filler},
+                                                          {"0;a=", filler},
+                                                          {"0\r\nX-Filler: ", filler},
+                                                          {"0\r\n", "X-Filler: " + filler + "\r\n"}}) {
         const std::size_t before = results.size();
         send();
         RawConnection connection = accept();
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -396,7 +396,8 @@
     std::vector<OwnerStatement> statements;
     for (const NodeReport &report : m_dependencies.directory.reports(reportLifetime(), now)) {
         if (m_detector.reportedRecently(report.node, now)) {
-            OwnerStatement statement{report.node, {report.silent.begin(), report.silent.end()}, report.registeredDigest};
+            OwnerStatement statement{
+                report.node, {report.silent.begin(), report.silent.end()}, report.registeredDigest};
             statement.notOwners.insert(report.leaving.begin(), report.leaving.end());
             statements.push_back(std::move(statement));
         }
--- a/src/rootadmission/internal/rateownership.cpp
+++ b/src/rootadmission/internal/rateownership.cpp
@@ -11,6 +11,8 @@
 
 /// Candidates kept for each workspace. When none of them may be chosen, each node is its own owner.
 constexpr std::size_t MaxOwnerCandidates = 8;
+/// Sets of nodes that are remembered, so that the statements of nodes that learn of a change later are understood.
+constexpr std::size_t MaxViews = 4;
 
 /// The owner that the node of the statement chooses among the candidates of a workspace.
 const NodeName &statedOwner(const OwnerStatement &statement, const std::vector<NodeName> &candidates)
@@ -37,29 +39,37 @@
 
 RateOwnership::RateOwnership(NodeName self)
     : m_self(std::move(self))
+    , m_views(1)
 {
 }
 
 void RateOwnership::setNodes(const std::set<NodeName> &registered)
 {
-    if (registered == m_registered) {
+    const View &previous = m_views.front();
+    if (registered == previous.nodes) {
         return;
     }
-    const bool removed = !std::includes(registered.begin(), registered.end(), m_registered.begin(), m_registered.end());
-    if (removed) {
-        m_candidateLists.clear();
-    } else {
+    View view;
+    view.digest = digestOf(registered);
+    view.nodes = registered;
+    if (std::includes(registered.begin(), registered.end(), previous.nodes.begin(), previous.nodes.end())) {
+        view.candidateLists = previous.candidateLists;
         for (const NodeName &node : registered) {
-            if (m_registered.contains(node)) {
+            if (previous.nodes.contains(node)) {
                 continue;
             }
-            for (auto &[workspace, list] : m_candidateLists) {
+            for (auto &[workspace, list] : view.candidateLists) {
                 insert(workspace, list, node);
             }
         }
     }
-    m_registered = registered;
-    m_registeredDigest = digestOf(registered);
+    std::erase_if(m_views, [&view](const View &known) {
+        return known.digest == view.digest;
+    });
+    m_views.push_front(std::move(view));
+    if (m_views.size() > MaxViews) {
+        m_views.pop_back();
+    }
 }
 
 void RateOwnership::setStatements(std::vector<OwnerStatement> statements)
@@ -68,7 +78,7 @@
 }
 
 /// Rendezvous hashing: adding or removing a node moves only the workspaces that it owns.
-void RateOwnership::insert(const WorkspaceName &workspace, CandidateList &list, const NodeName &node) const
+void RateOwnership::insert(const WorkspaceName &workspace, CandidateList &list, const NodeName &node)
 {
     const std::string score = sha256Hex(workspace.value + '\n' + node.value);
     const auto position = std::lower_bound(list.scores.begin(), list.scores.end(), score);
@@ -84,30 +94,37 @@
     }
 }
 
-RateOwnership::CandidateList &RateOwnership::candidateList(const WorkspaceName &workspace) const
+const std::vector<NodeName> &RateOwnership::candidates(const View &view, const WorkspaceName &workspace)
 {
-    const auto [entry, missing] = m_candidateLists.try_emplace(workspace);
+    const auto [entry, missing] = view.candidateLists.try_emplace(workspace);
     if (missing) {
-        for (const NodeName &node : m_registered) {
+        for (const NodeName &node : view.nodes) {
             insert(workspace, entry->second, node);
         }
     }
-    return entry->second;
+    return entry->second.nodes;
+}
+
+const RateOwnership::View *RateOwnership::findView(std::uint64_t digest) const
+{
+    const auto view = std::find_if(m_views.begin(), m_views.end(), [digest](const View &known) {
+        return known.digest == digest;
+    });
+    return view == m_views.end() ? nullptr : &*view;
 }
 
 const std::vector<NodeName> &RateOwnership::ownerCandidates(const WorkspaceName &workspace) const
 {
-    return candidateList(workspace).nodes;
+    return candidates(m_views.front(), workspace);
 }
 
 double RateOwnership::pledgedShare(const WorkspaceName &workspace) const
 {
-    const std::vector<NodeName> &candidates = ownerCandidates(workspace);
-    const auto pledges =
-        std::count_if(m_statements.begin(), m_statements.end(), [this, &candidates](const OwnerStatement &statement) {
-            return statement.registeredDigest == m_registeredDigest && statedOwner(statement, candidates) == m_self;
-        });
-    const std::size_t nodes = std::max<std::size_t>(m_registered.size(), 1);
+    const auto pledges = std::count_if(m_statements.begin(), m_statements.end(), [&](const OwnerStatement &statement) {
+        const View *view = findView(statement.registeredDigest);
+        return view != nullptr && statedOwner(statement, candidates(*view, workspace)) == m_self;
+    });
+    const std::size_t nodes = std::max<std::size_t>(m_views.front().nodes.size(), 1);
     return std::min(1.0, static_cast<double>(pledges) / static_cast<double>(nodes));
 }
 
@@ -115,7 +132,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(m_statements.begin(), m_statements.end(), [this](const OwnerStatement &statement) {
-            return statement.registeredDigest != m_registeredDigest;
+            return findView(statement.registeredDigest) == nullptr;
         }));
 }
 
--- a/src/rootadmission/rateownership.h
+++ b/src/rootadmission/rateownership.h
@@ -3,6 +3,7 @@
 #include "model/ids.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -27,8 +28,8 @@
 /// chooses, and an isolated node keeps its own equal share.
 ///
 /// Copies of the node registry can differ between nodes for seconds. Which owner a node chooses is therefore never
-/// inferred from this node's copy but follows from the other node's own statement; the pledge of a node that knows other
-/// nodes than this one is not counted, since its choice is not known here.
+/// inferred from this node's copy but follows from the other node's own statement and the nodes that it knows. If these
+/// are none of the sets of nodes that this node knows or knew recently, the pledge is not counted.
 class RateOwnership
 {
 public:
@@ -47,7 +48,7 @@
     /// Share of the workspace's rate that is pledged to this node, 0 to 1.
     [[nodiscard]] double pledgedShare(const WorkspaceName &workspace) const;
 
-    /// Number of nodes whose statement is not counted because they know other nodes than this one.
+    /// Number of nodes whose statement is not counted because this node has not known the same nodes.
     [[nodiscard]] std::size_t differingViews() const;
 
 private:
@@ -56,14 +57,20 @@
         std::vector<NodeName> nodes;
     };
 
-    void insert(const WorkspaceName &workspace, CandidateList &list, const NodeName &node) const;
-    CandidateList &candidateList(const WorkspaceName &workspace) const;
+    /// A set of registered nodes, with the candidates that follow from it.
+    struct View {
+        std::uint64_t digest = 0;
+        std::set<NodeName> nodes;
+        mutable std::map<WorkspaceName, CandidateList> candidateLists;
+    };
+
+    static void insert(const WorkspaceName &workspace, CandidateList &list, const NodeName &node);
+    static const std::vector<NodeName> &candidates(const View &view, const WorkspaceName &workspace);
+    [[nodiscard]] const View *findView(std::uint64_t digest) const;
 
     NodeName m_self;
-    std::set<NodeName> m_registered;
-    std::uint64_t m_registeredDigest = 0;
+    std::deque<View> m_views; ///< The current one first, then those that preceded it.
     std::vector<OwnerStatement> m_statements;
-    mutable std::map<WorkspaceName, CandidateList> m_candidateLists;
 };
 
 } // namespace vanillatack
--- a/src/rootadmission/tests/workspaceratelimiter_tests.cpp
+++ b/src/rootadmission/tests/workspaceratelimiter_tests.cpp
@@ -146,7 +146,8 @@
     /// The nodes that are leaving according to a node's copy of the registry.
     std::set<NodeName> leavingTo(int node) const
     {
-        return leaving && isStale(node) && names[node] != *leaving ? std::set<NodeName>{*leaving} : std::set<NodeName>{};
+        return leaving && isStale(node) && names[node] != *leaving ? std::set<NodeName>{*leaving}
+                                                                   : std::set<NodeName>{};
     }
 
     /// Runs a flood of the whole fleet and returns by how much the admitted requests exceed the bound.
@@ -498,6 +499,33 @@
     }
 }
 
+// Guards against a rate that is granted in part only while nodes learn one after another that a node has joined or
+// left.
+TEST(RateOwnership, pledgesOfNodesThatLearnOfAChangeLaterAreCounted)
+{
+    std::set<NodeName> fewer = all;
+    fewer.erase(NodeName("n7"));
+    const auto shareAfter = [this](const std::set<NodeName> &before, const std::set<NodeName> &after) {
+        double sum = 0;
+        for (const NodeName &node : after) {
+            RateOwnership ownership(node);
+            ownership.setNodes(before);
+            ownership.setNodes(after);
+            std::vector<OwnerStatement> statements;
+            for (const NodeName &other : after) {
+                // All others still know the nodes of before.
+                statements.push_back({other, {}, digestOf(other == node ? after : before)});
+            }
+            ownership.setStatements(statements);
+            LONGS_EQUAL(0, ownership.differingViews());
+            sum += ownership.pledgedShare(Acme);
+        }
+        return sum;
+    };
+    CHECK(shareAfter(all, fewer) >= 0.9);
+    CHECK(shareAfter(fewer, all) >= 0.9);
+}
+
 TEST(RateOwnership, aNewNodeTakesOverFewWorkspaces)
 {
     RateOwnership ownership(NodeName("n0"));
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -152,7 +152,7 @@
     ::send(socket.value().descriptor(), head.data(), head.size(), MSG_NOSIGNAL);
     const std::string filler(1000, 'x');
     std::size_t sent = 0;
-    while (sent < MaxSentBytes && ::send(socket.value().descriptor(), filler.data(), filler.size(), MSG_NOSIGNAL) > 0) {
+    while (sent<MaxSentBytes && ::send(socket.value().descriptor(), filler.data(), filler.size(), MSG_NOSIGNAL)> 0) {
         sent += filler.size();
     }
     CHECK(sent < MaxSentBytes);
@@ -300,7 +300,7 @@
         std::thread upstream([&] {
             const int connection = server.accept();
             RawServer::write(connection, start);
-            while (sent < MaxSentBytes && ::send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL) > 0) {
+            while (sent<MaxSentBytes && ::send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL)> 0) {
                 sent += repeated.size();
             }
             ::close(connection);
