Count a thread that has just been started as free

What callers of vanillatackd saw: an idle connection was closed for a new one although a thread for the new one had been started.

Cause: ConnectionThreads counted a new thread as free only once it ran, so that the pool counted as saturated in between. The test of idle connections then waited for a connection that the server had closed.

Change: a thread counts as free from its start until it takes a task.

--- a/src/transport/internal/connectionthreads.cpp
+++ b/src/transport/internal/connectionthreads.cpp
@@ -32,6 +32,7 @@
     }
     if (m_threads < m_limit) {
         ++m_threads;
+        ++m_idle; // It takes a queued task as soon as it runs.
         std::thread([this] {
             work();
         }).detach(); // stop() waits until m_threads is 0 instead of joining.
@@ -42,7 +43,6 @@
 {
     std::unique_lock lock(m_mutex);
     while (true) {
-        ++m_idle;
         const bool woken = m_wake.wait_for(lock, IdleThreadLifetime, [this] {
             return !m_tasks.empty() || m_stopping;
         });
@@ -55,6 +55,7 @@
         lock.unlock();
         task();
         lock.lock();
+        ++m_idle;
     }
     --m_threads;
     m_ended.notify_all();
--- a/src/transport/internal/connectionthreads.h
+++ b/src/transport/internal/connectionthreads.h
@@ -41,7 +41,7 @@
     std::condition_variable m_ended;
     std::deque<std::function<void()>> m_tasks;
     std::size_t m_threads = 0;
-    std::size_t m_idle = 0;
+    std::size_t m_idle = 0; ///< Threads that wait for a task or have just been started for one.
     bool m_stopping = false;
 };
 
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -1,3 +1,4 @@
+#include "transport/internal/connectionthreads.h"
 #include "transport/threadedhttpserver.h"
 #include "transport/threadedpeerlink.h"
 #include "transport/upstreamclient.h"
@@ -67,6 +68,43 @@
 
 } // namespace
 
+TEST_GROUP(ConnectionThreads){};
+
+// Guards against an idle connection that is closed for a new one although a thread for the new one has been started.
+TEST(ConnectionThreads, aThreadThatHasJustBeenStartedCountsAsFree)
+{
+    int saturated = 0;
+    for (int trial = 0; trial < 200; ++trial) {
+        ConnectionThreads threads(1);
+        threads.run([] {});
+        saturated += threads.isSaturated() ? 1 : 0;
+    }
+    LONGS_EQUAL(0, saturated);
+}
+
+TEST(ConnectionThreads, isSaturatedWhileATaskWaitsForAThread)
+{
+    ConnectionThreads threads(1);
+    std::atomic<bool> started = false;
+    std::atomic<bool> release = false;
+    threads.run([&] {
+        started = true;
+        while (!release) {
+            std::this_thread::yield();
+        }
+    });
+    while (!started) {
+        std::this_thread::yield();
+    }
+    CHECK(!threads.isSaturated());
+    LONGS_EQUAL(1, threads.active());
+    threads.run([] {});
+    CHECK(threads.isSaturated());
+    release = true;
+    threads.stop();
+    LONGS_EQUAL(0, threads.active());
+}
+
 TEST_GROUP(ThreadedHttpServer)
 {
     EchoHandler handler;
@@ -294,10 +332,12 @@
 {
     const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string filler(1000, 'x');
-    for (const auto &[start, repeated] : std::vector<std::pair<std::string, std::string>>{
-             {"", filler}, {"HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n"}, {chunked + "3;a=", filler}}) {
+    const std::vector<std::pair<std::string, std::string>> streams{
+        {"", filler}, {"HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n"}, {chunked + "3;a=", filler}};
+    for (const auto &stream : streams) {
         std::size_t sent = 0;
-        std::thread upstream([&] {
+        std::thread upstream([this, &stream, &sent] {
+            const auto &[start, repeated] = stream;
             const int connection = server.accept();
             RawServer::write(connection, start);
             while (sent<MaxSentBytes && ::send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL)> 0) {
