Build the nodes of the large answers' test once

The test replaced running nodes, whose timers still referred to them. It has a group of its own with a larger budget for bodies now; the checks are the same. 31 tests of vt_proxy_tests pass.

--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -197,14 +197,6 @@
         close(logDescriptor);
     }
 
-    /// Replaces the nodes by new ones, for instance with other settings.
-    void rebuildNodes()
-    {
-        nearNode = nullptr;
-        farNode = nullptr;
-        setup();
-    }
-
     std::unique_ptr<ITrafficNode> makeNode(
         const std::string &name, const std::string &service, FakeInstance &instance, Endpoint &callerEndpointOut)
     {
@@ -316,6 +308,17 @@
     int attempts = 0;
 };
 
+TEST_GROUP_BASE(TrafficNodeWithLargeBodies, TEST_GROUP_CppUTestGroupTrafficNode)
+{
+    static constexpr std::size_t AnswerBytes = std::size_t{24} << 20; ///< More than the kernel takes.
+
+    void setup() override
+    {
+        bodyBudgetBytes = 2 * AnswerBytes;
+        TEST_GROUP_CppUTestGroupTrafficNode::setup();
+    }
+};
+
 TEST(TrafficNode, refusesRequestsAsNotReadyWithoutConfiguration)
 {
     LONGS_EQUAL(503, send("GET", "/read/1", {{"Key", "k1"}}).response.status);
@@ -661,11 +664,8 @@
 }
 
 // Guards against answers that a planned stop cuts off because their caller reads slowly (LOST).
-TEST(TrafficNode, aStoppedNodeSendsTheRestOfAnswersToSlowCallers)
+TEST(TrafficNodeWithLargeBodies, aStoppedNodeSendsTheRestOfAnswersToSlowCallers)
 {
-    constexpr std::size_t AnswerBytes = std::size_t{24} << 20; // More than the kernel takes.
-    bodyBudgetBytes = 2 * AnswerBytes;
-    rebuildNodes();
     bringUp();
     farInstance.answer.body = std::string(AnswerBytes, 'a');
     boost::asio::ip::tcp::socket caller(loop.context());
