--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -1,8 +1,7 @@
-#include "fleet/tests/faketablestore.h"
 #include "metrics/metricssetup.h"
 #include "net/httpclient.h"
-#include "net/httpserver.h"
 #include "proxy/decisionlog.h"
+#include "proxy/tests/testnodes.h"
 #include "proxy/trafficnode.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,134 +22,6 @@
 
 constexpr std::size_t BodyBudgetBytes = 200'000;
 
-/// The system clock with simulated suspension of the VM.
-class SuspendableClock final : public IClock
-{
-public:
-    [[nodiscard]] TimePoint now() const override
-    {
-        return m_system.now();
-    }
-    [[nodiscard]] Duration elapsed() const override
-    {
-        return m_system.elapsed() + suspended;
-    }
-    [[nodiscard]] WallTime wallNow() const override
-    {
-        return m_system.wallNow();
-    }
-
-    Duration suspended{0};
-
-private:
-    SystemClock m_system;
-};
-
-/// A store that always answers, within milliseconds, shared by the nodes of a test.
-class SharedTableStore final : public ITableStore
-{
-public:
-    explicit SharedTableStore(EventLoop &loop)
-        : m_loop(loop)
-    {
-    }
-
-    void read(const std::string &table, const std::string &fromKey, TableCompletion completion) override
-    {
-        m_loop.callAfter(0ms, [this, table, fromKey, completion] {
-            m_fake.read(table, fromKey, completion);
-            m_fake.answer();
-        });
-    }
-
-    void watch(const std::string &table, std::uint64_t after, Duration wait, TableCompletion completion) override
-    {
-        m_loop.callAfter(2ms, [this, table, after, wait, completion] {
-            if (m_fake.version <= after) {
-                watch(table, after, wait, completion);
-                return;
-            }
-            m_fake.watch(table, after, wait, completion);
-            m_fake.answer();
-        });
-    }
-
-    void write(const ConditionalWrite &write, TableCompletion completion) override
-    {
-        m_loop.callAfter(0ms, [this, write, completion] {
-            m_fake.write(write, completion);
-            m_fake.answer();
-        });
-    }
-
-private:
-    EventLoop &m_loop;
-    FakeTableStore m_fake;
-};
-
-HeaderNames headerNames()
-{
-    return {.attemptId = "Attempt",
-            .timeLeft = "Time-Left",
-            .key = "Key",
-            .workspace = "Workspace",
-            .callerService = "Caller-Service",
-            .expectedInstance = "Expected",
-            .notExecuted = "Not-Executed",
-            .signature = "Signature",
-            .requestLimit = "Limit",
-            .leaving = "Leaving"};
-}
-
-/// An instance that sends a configured answer.
-class FakeInstance final : public IHttpListener
-{
-public:
-    explicit FakeInstance(EventLoop &loop)
-        : server(makeHttpServer(loop, *this))
-    {
-        if (const auto opened = server->listen({"127.0.0.1", 0}); !opened) {
-            FAIL("cannot listen on a loopback port for a fake instance");
-        }
-    }
-
-    void onRequest(ExchangeId exchange, HttpRequest request, const std::string & /*peer*/) override
-    {
-        requests.push_back(request);
-        exchanges.push_back(exchange);
-        if (unresponsive) {
-            return;
-        }
-        HttpResponse response = answer;
-        if (repeatsAttemptId) {
-            response.headers.emplace_back("Attempt", request.header("Attempt"));
-        }
-        server->respond(exchange, response);
-    }
-
-    void onExchangeAbandoned(ExchangeId exchange) override
-    {
-        abandonedExchanges.push_back(exchange);
-    }
-
-    std::unique_ptr<IHttpServer> server;
-    HttpResponse answer = success();
-    bool unresponsive = false;
-    bool repeatsAttemptId = true;
-    std::vector<HttpRequest> requests;
-    std::vector<ExchangeId> exchanges;
-    std::vector<ExchangeId> abandonedExchanges;
-
-    static HttpResponse success()
-    {
-        HttpResponse response;
-        response.status = 200;
-        response.headers = {{"Signature", "s1"}};
-        response.body = "whole";
-        return response;
-    }
-};
-
 std::string headerValue(const HeaderList &headers, const std::string &name)
 {
     HttpRequest holder;
@@ -158,12 +29,6 @@
     return holder.header(name);
 }
 
-std::uint16_t freePort(EventLoop &loop)
-{
-    boost::asio::ip::tcp::acceptor acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-}
-
 } // namespace
 
 /// Two nodes, "near" and "far", on one event loop; only the far node has an instance of the service "parts".
