--- a/src/fleet/internal/nodeentrycodec.cpp
+++ b/src/fleet/internal/nodeentrycodec.cpp
@@ -39,7 +39,7 @@
         {"accepting", entry.accepting},
         {"leaving", entry.leaving},
     }
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); // Throws for no text.
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); // Does not throw for texts that are not UTF-8.
 }
 
 Result<NodeEntry> parseNodeEntry(const std::string &text)
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -288,7 +288,7 @@
             complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
             return;
         }
-        const bool framingTooLong = connection->input.size() > MaxHeadBytes;
+        const bool framingTooLong = error == http::error::need_more && connection->input.size() > MaxHeadBytes;
         if (error == http::error::need_more && !framingTooLong) {
             return;
         }
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -348,7 +348,7 @@
         }
         // The parser keeps the bytes of a line of a chunked body, or of the fields after its last chunk, until it is
         // complete.
-        const bool framingTooLong = connection->input.size() > m_limits.headBytes;
+        const bool framingTooLong = error == http::error::need_more && connection->input.size() > m_limits.headBytes;
         if (error == http::error::need_more && !framingTooLong) {
             return;
         }
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -423,10 +423,16 @@
         RawConnection connection(loop, server->port());
         connection.send(head + start);
         connection.sendUntilClosed(std::string(1000, 'x'));
+        STRCMP_CONTAINS("HTTP/1.1 431", connection.readUntil("\r\n\r\n").c_str());
     }
     LONGS_EQUAL(0, listener.requests.size());
 }
 
+TEST(HttpServer, aMalformedRequestBeforeManyBytesIsNotTakenForOneWithTooManyHeaders)
+{
+    STRCMP_CONTAINS("HTTP/1.1 400", exchange("BAD\r\n\r\n" + std::string(20000, 'x')).c_str());
+}
+
 TEST(HttpServer, refusesRequestsBeyondTheSharedBufferLimit)
 {
     server->setLimits({.bodyBytes = 1 << 20, .bufferedBytes = 100'000});
