--- a/review/standin2/case.cpp
+++ b/review/standin2/case.cpp
@@ -24,6 +24,8 @@
             result = review::runLateReport(record, trouble);
         } else if (name == "large-bodies") {
             result = review::runLargeBodies(record, trouble);
+        } else if (name == "stalled-log") {
+            result = review::runStalledLog(record, trouble);
         }
         record.line("result: " + std::to_string(result));
         return result;
--- a/review/standin2/cases.h
+++ b/review/standin2/cases.h
@@ -9,6 +9,7 @@
 
 int runLargeBodies(Record &record, bool trouble);
 int runLateReport(Record &record, bool trouble);
+int runStalledLog(Record &record, bool trouble);
 
 inline constexpr const char *Host = "hulo84.example";
 inline constexpr const char *Key = "6wsjnbanfqasnmgkcuyj";
@@ -18,7 +19,7 @@
 /// Starts a store with one desired state, and the nodes of one zone on a free loopback network. The routes /read/
 /// (idempotent) and /file/ (non_idempotent) go to the service of the last node.
 struct Fleet {
-    Fleet(Record &fleetRecord, const std::vector<std::string> &services);
+    Fleet(Record &fleetRecord, const std::vector<std::string> &services, bool collectOutput = false);
     ~Fleet();
     bool waitReady(double seconds);
 
--- a/review/standin2/fleet.cpp
+++ b/review/standin2/fleet.cpp
@@ -400,6 +400,31 @@
         ::kill(m_pid, SIGKILL);
         wait();
     }
+    m_collecting = false;
+    if (m_collector.joinable()) {
+        m_collector.join();
+        ::close(m_pipe[0]);
+        ::close(m_pipe[1]);
+    }
+}
+
+void Node::collectOutput()
+{
+    if (pipe2(m_pipe, O_CLOEXEC) != 0) {
+        throw std::runtime_error("cannot create a pipe");
+    }
+    m_collecting = true;
+    m_collector = std::thread([this] {
+        char chunk[4096];
+        while (m_collecting) {
+            pollfd state{.fd = m_pipe[0], .events = POLLIN, .revents = 0};
+            if (!m_reading || poll(&state, 1, 50) <= 0) {
+                sleepSeconds(0.01);
+            } else if (read(m_pipe[0], chunk, sizeof chunk) <= 0) {
+                return;
+            }
+        }
+    });
 }
 
 void Node::start(bool bootstrap)
@@ -430,7 +455,11 @@
     const std::string log = m_folder + "/" + m_machine.name + "-" + std::to_string(++m_starts) + ".log";
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+    if (m_collecting) {
+        posix_spawn_file_actions_adddup2(&actions, m_pipe[1], 1);
+    } else {
+        posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+    }
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     std::string program = "target/platform/vanillatack-sidecar"; // the command of deploy/system.toml
     std::string settings = "VANILLATACK_SETTINGS=" + path;
@@ -564,6 +593,10 @@
             continue;
         }
         m_run(message);
+        if (faulty && faulty()) {
+            stream.send("these bytes are no answer\r\n\r\n");
+            return;
+        }
         headers.emplace_back("X-Response-Signature", "sig-" + id);
         if (!stream.send(answerText(200, "answer to " + id, headers))) {
             return;
--- a/review/standin2/fleet.h
+++ b/review/standin2/fleet.h
@@ -161,12 +161,23 @@
     {
         return m_machine;
     }
+    /// Connects the output of the next start to a pipe, as a log collector does, instead of a file.
+    void collectOutput();
+    /// Whether the collector reads.
+    void setReading(bool reading)
+    {
+        m_reading = reading;
+    }
 
 private:
     Machine m_machine;
     std::string m_folder;
     pid_t m_pid = -1;
     int m_starts = 0;
+    int m_pipe[2] = {-1, -1};
+    std::atomic<bool> m_reading{true};
+    std::atomic<bool> m_collecting{false};
+    std::thread m_collector;
 };
 
 /// An application instance: answers requests, and reports to the control address of its machine.
@@ -177,6 +188,9 @@
     using Run = std::function<void(const Message &)>;
 
 
+    /// Whether the next answer is bytes that are no answer.
+    std::function<bool()> faulty;
+
     Instance(const Machine &machine, std::string id, Run run);
     ~Instance();
     std::string beat(const std::string &state) const; // the next status report, as bytes
--- a/review/standin2/fleetsetup.cpp
+++ b/review/standin2/fleetsetup.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-Fleet::Fleet(Record &fleetRecord, const std::vector<std::string> &services)
+Fleet::Fleet(Record &fleetRecord, const std::vector<std::string> &services, bool collectOutput)
     : record(fleetRecord)
     , network(freeNetwork())
     , folder(temporaryFolder())
@@ -56,6 +56,9 @@
         machine.service = services[i];
         machine.storeAddress = network + ".1:" + std::to_string(StorePort);
         nodes.push_back(std::make_unique<Node>(machine, folder));
+        if (collectOutput) {
+            nodes.back()->collectOutput();
+        }
     }
     for (const auto &node : nodes) {
         node->start(true);
