--- a/review/standin2/fleet.cpp
+++ b/review/standin2/fleet.cpp
@@ -413,6 +413,8 @@
     if (pipe2(m_pipe, O_CLOEXEC) != 0) {
         throw std::runtime_error("cannot create a pipe");
     }
+    constexpr int UsualPipeBytes = 65536; // also where pages are larger
+    fcntl(m_pipe[1], F_SETPIPE_SZ, UsualPipeBytes);
     m_collecting = true;
     m_collector = std::thread([this] {
         char chunk[4096];
