--- a/src/bench/internal/loadgenerator.cpp
+++ b/src/bench/internal/loadgenerator.cpp
@@ -154,7 +154,7 @@
         constexpr std::size_t BodyBytes = 512;
         HttpRequest request{stream.method, stream.path, {{"Marker", marker}}, {}};
         if (stream.method != "GET") {
-            request.body.assign(BodyBytes, 'b');
+            request.body = std::string(BodyBytes, 'b');
         }
         if (!stream.key.empty()) {
             request.headers.emplace_back("Authorization", "Bearer " + stream.key);
@@ -176,12 +176,12 @@
             return;
         }
         if (sample.status < 400) {
-            const bool matches = answer.response.body.find(request.headers.front().second) != std::string::npos;
+            const bool matches = answer.response.body.bytes().find(request.headers.front().second) != std::string::npos;
             sample.succeeded = matches;
             sample.kind = matches ? "" : "wrong-answer";
             return;
         }
-        const nlohmann::json problem = nlohmann::json::parse(answer.response.body, nullptr, false);
+        const nlohmann::json problem = nlohmann::json::parse(answer.response.body.bytes(), nullptr, false);
         sample.kind = problem.is_object() ? problem.value("kind", "upstream-error") : "upstream-error";
     }
 
--- a/src/bench/programs/callcost.cpp
+++ b/src/bench/programs/callcost.cpp
@@ -425,7 +425,7 @@
         if (m_plan.keyed) {
             request.headers.emplace_back("Key", "k1");
         }
-        request.body.assign(m_plan.requestBytes, 'b');
+        request.body = std::string(m_plan.requestBytes, 'b');
         m_client->send(m_node, request, 5s, {}, [completion = std::move(completion)](const ClientResult &result) {
             completion(result.outcome == ClientOutcome::Complete ? result.response.status : 0);
         });
--- a/src/daemon/internal/egressforwarder.cpp
+++ b/src/daemon/internal/egressforwarder.cpp
@@ -116,7 +116,7 @@
         std::optional<ClaimResult> result;
     };
     const auto pending = std::make_shared<Pending>();
-    const std::string digest = sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
+    const std::string digest = sha256Hex(request.method + "\n" + request.target + "\n" + request.body.bytes());
     auto lock = m_lock.acquire();
     m_node.claim(active.id, digest, [pending](const ClaimResult &result) {
         pending->result = result;
@@ -178,7 +178,7 @@
 
 HttpResponse EgressForwarder::endAnswered(const ActiveRequest &active, CallReply reply)
 {
-    StoredAnswer answer{reply.status, std::move(reply.headers), std::move(reply.body)};
+    StoredAnswer answer{reply.status, std::move(reply.headers), reply.body.release()};
     auto lock = m_lock.acquire();
     m_node.endRequest(active.id, answer, {});
     lock.unlock();
--- a/src/daemon/tests/daemon_tests.cpp
+++ b/src/daemon/tests/daemon_tests.cpp
@@ -101,7 +101,7 @@
             "POST", target, {{"Authorization", std::string("Bearer ") + Credential}}, body.dump()};
         const HttpResponse response = send(adminPort, request);
         LONGS_EQUAL(200, response.status);
-        return nlohmann::json::parse(response.body);
+        return nlohmann::json::parse(response.body.bytes());
     }
 
     /// Repeats the request until the status differs from the given one; hangs when it never does.
@@ -144,7 +144,7 @@
     const HttpRequest read{"GET", "/read", {{"Authorization", "Bearer vt_anything"}}, {}};
     const HttpResponse early = send(callerPort, read);
     LONGS_EQUAL(503, early.status);
-    const nlohmann::json problem = nlohmann::json::parse(early.body);
+    const nlohmann::json problem = nlohmann::json::parse(early.body.bytes());
     STRCMP_EQUAL("not-ready", problem.at("kind").get<std::string>().c_str());
     STRCMP_EQUAL("not-run", problem.at("run").get<std::string>().c_str());
     LONGS_EQUAL(503, send(localPort, {"GET", "/readyz", {}, {}}).status);
@@ -164,7 +164,8 @@
     postToAdmin(adminPort, "/v1/keys/withdraw", {{"id", grant.at("id")}, {"author", "a"}});
     LONGS_EQUAL(401, send(callerPort, keyed).status);
 
-    const nlohmann::json stats = nlohmann::json::parse(send(upstreamPort, {"GET", "/control/stats", {}, {}}).body);
+    const nlohmann::json stats =
+        nlohmann::json::parse(send(upstreamPort, {"GET", "/control/stats", {}, {}}).body.bytes());
     CHECK(stats.at("served").get<int>() > 0);
     LONGS_EQUAL(0, stats.at("keys_seen").get<int>());
     daemon->shutDown();
--- a/src/daemon/tests/settings_tests.cpp
+++ b/src/daemon/tests/settings_tests.cpp
@@ -142,7 +142,7 @@
             continue;
         }
         const HttpResponse response = makeProblem({entry.value, RunState::Unknown, 1500ms}, "root");
-        const nlohmann::json body = nlohmann::json::parse(response.body);
+        const nlohmann::json body = nlohmann::json::parse(response.body.bytes());
         const std::string kind(entry.name);
         LONGS_EQUAL(statuses.at(entry.value), response.status);
         LONGS_EQUAL(response.status, body.at("status").get<int>());
@@ -163,7 +163,7 @@
 TEST(Problem, anUnreadableRequestIdIsReplaced)
 {
     const HttpResponse response = makeProblem({RefusalKind::Overloaded, RunState::NotRun, 1s}, "a\xff");
-    CHECK(!nlohmann::json::parse(response.body, nullptr, false).is_discarded());
+    CHECK(!nlohmann::json::parse(response.body.bytes(), nullptr, false).is_discarded());
 }
 
 // Guards against a Retry-After header where a retry does not help, and against unreadable requests without a response.
@@ -176,5 +176,5 @@
     LONGS_EQUAL(413, makeUnreadableRequestProblem(413).status);
     LONGS_EQUAL(431, makeUnreadableRequestProblem(414).status);
     LONGS_EQUAL(431, makeUnreadableRequestProblem(431).status);
-    CHECK(makeUnreadableRequestProblem(400).body.find("\"not-run\"") != std::string::npos);
+    CHECK(makeUnreadableRequestProblem(400).body.bytes().find("\"not-run\"") != std::string::npos);
 }
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/body.h"
 #include "model/request.h"
 
 #include <string>
@@ -11,7 +12,7 @@
     std::string method;
     std::string target; ///< Path and query as received.
     HeaderList headers;
-    std::string body;
+    Body body;
 
     /// Value of the first header with the name (case-insensitive); empty if there is none.
     [[nodiscard]] std::string header(std::string_view name) const;
@@ -20,10 +21,16 @@
 struct HttpResponse {
     int status = 0;
     HeaderList headers;
-    std::string body;
+    Body body;
     bool closeConnection = false; ///< Sent: close the connection afterwards. Received: the server closes it.
 };
 
+/// Memory in bytes of a header without its name and value.
+inline constexpr std::size_t HeaderOverheadBytes = sizeof(HeaderList::value_type) + 32;
+
+/// Memory in bytes that a list of headers takes, with the overhead of each.
+std::size_t memoryOf(const HeaderList &headers);
+
 /// Whether the header must not be forwarded: it applies to a single connection, or is set anew for each
 /// (Content-Length, Expect).
 bool isHopByHopHeader(std::string_view name);
--- a/src/http/internal/http.cpp
+++ b/src/http/internal/http.cpp
@@ -48,4 +48,13 @@
     return absl::EqualsIgnoreCase(asAbsl(left), asAbsl(right));
 }
 
+std::size_t memoryOf(const HeaderList &headers)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : headers) {
+        bytes += HeaderOverheadBytes + name.size() + value.size();
+    }
+    return bytes;
+}
+
 } // namespace vanillatack
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/body.h"
 #include "model/request.h"
 #include "model/versionedrow.h"
 
@@ -28,7 +29,7 @@
     std::string method;
     std::string target; ///< Path and query.
     HeaderList headers;
-    std::string body;
+    Body body;
     int rank = 0; ///< Importance among requests of the same ingress queue, 0 to 255; 0 is served first.
     std::string instance; ///< Id of the instance that must run the request; empty for any.
     Duration sentAt{0}; ///< Send time by the sender's clock, from which the time in transit is computed.
@@ -43,7 +44,7 @@
     Duration retryAfter{0};
     int status = 0; ///< HTTP status of the upstream's answer.
     HeaderList headers;
-    std::string body;
+    Body body;
     int allowanceReturned = 0; ///< Number of unused retries returned to the sender.
     std::vector<ServiceLevel> levels; ///< Admission levels of the services on the call path, deepest last.
 };
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/memorybudget.h"
 #include "http/http.h"
 #include "net/eventloop.h"
 
@@ -30,8 +31,10 @@
     /// Maximum idle time; a shorter timeout in the server's Keep-Alive header, less 1 s, takes precedence.
     Duration idleLifetime = std::chrono::seconds(8);
     std::size_t maxBodyBytes = std::size_t{64} << 20; ///< Longer responses end as Broken.
-    /// Bytes of the bodies of all responses that are being received. A response that exceeds them ends as Broken.
-    std::size_t maxTotalBodyBytes = std::size_t{256} << 20;
+    /// Charged with the heads of requests and with responses. A response of known length for which there is no room
+    /// waits unread; one of unknown length that outgrows it ends as Broken. If null, the client has one of its own.
+    std::shared_ptr<MemoryBudget> memory = nullptr;
+    MemoryOwner owner = MemoryOwner::Instance; ///< Whom the memory is held for.
     std::size_t maxIdle = 256; ///< Idle connections kept per server.
 };
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/memorybudget.h"
 #include "http/http.h"
 #include "net/eventloop.h"
 
@@ -17,9 +18,6 @@
     /// Above this number the longest idle connections are closed. Leaves a quarter of the 4,100 file descriptors of a
     /// small VM free.
     std::size_t connections = 3000;
-    /// Bytes of requests and responses in memory, for all callers together; requests beyond it are answered with 503,
-    /// before their body is read if its length is known.
-    std::size_t bufferedBytes = std::size_t{96} << 20;
     /// The time limit for receiving a request, head and body, is headTimeout + idleTimeout from its first byte.
     Duration headTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15); ///< Maximum time between two requests of a connection.
@@ -40,7 +38,10 @@
 };
 
 /// Event-driven HTTP/1.1 server of vanillatack-sidecar; vanillatackd uses IThreadedHttpServer. Requests are read
-/// completely; pipelined requests are processed concurrently and answered in order.
+/// completely; pipelined requests are processed concurrently and answered in order. All bytes that are held for callers
+/// are charged to the memory budget: connections, heads, bodies, responses and the kernel's buffers. A request for
+/// which there is no room is answered with 503, before its body is read if its length is known. While memory is scarce,
+/// callers that do not get on with sending a request or reading a response are cut off.
 class IHttpServer
 {
 public:
@@ -60,9 +61,6 @@
 
     [[nodiscard]] virtual std::size_t connections() const = 0;
 
-    /// Bytes of requests and responses in memory.
-    [[nodiscard]] virtual std::size_t bufferedBytes() const = 0;
-
     /// Whether a received request has no response yet, or bytes of a response have not been taken by the caller's
     /// connection.
     [[nodiscard]] virtual bool hasUnsentResponses() const = 0;
@@ -70,8 +68,9 @@
     [[nodiscard]] virtual std::uint16_t port() const = 0;
 };
 
-/// The loop and the listener must outlive the server.
-std::unique_ptr<IHttpServer> makeHttpServer(EventLoop &loop, IHttpListener &listener);
+/// The loop and the listener must outlive the server. Without a memory budget the server has one of its own.
+std::unique_ptr<IHttpServer>
+makeHttpServer(EventLoop &loop, IHttpListener &listener, std::shared_ptr<MemoryBudget> memory = nullptr);
 
 /// Reason phrase of a status code.
 std::string_view reasonPhrase(int status);
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -1,15 +1,15 @@
 #include "net/httpclient.h"
 
 #include "base/log.h"
+#include "net/internal/chargedbody.h"
 #include "net/internal/receivebuffer.h"
+#include "net/internal/socketbuffers.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -29,6 +29,12 @@
 constexpr std::uint32_t MaxHeadBytes = 32768;
 /// The kernel closes a connection whose sent bytes stay unacknowledged for this time.
 constexpr Duration TcpUserTimeout = std::chrono::seconds(3);
+/// Interval at which a response that waits unread is offered to the memory budget again.
+constexpr Duration RoomCheckInterval = std::chrono::milliseconds(10);
+/// Memory of a connection in use without its buffers.
+constexpr std::size_t ConnectionBytes = 4096;
+/// Capacity above which the input buffer of a connection is released when it is not filled.
+constexpr std::size_t MaxIdleInputBytes = 4096;
 /// Subtracted from the Keep-Alive timeout of the server to allow for the time that a request takes to reach it.
 constexpr Duration IdleMargin = std::chrono::seconds(1);
 
@@ -41,8 +47,12 @@
     Tcp::socket socket;
     Endpoint server;
     boost::beast::flat_buffer input;
-    std::optional<http::response_parser<http::string_body>> parser;
-    std::string output;
+    std::optional<http::response_parser<ChargedBody>> parser;
+    HeadMemory head; ///< Of the response that is being parsed.
+    std::string output; ///< Head of the request that is being sent.
+    Body outputBody;
+    std::size_t written = 0; ///< Bytes of output and outputBody that the kernel has taken.
+    MemoryCharge charge; ///< Of the connection and its buffers.
     ClientCallId call; ///< 0 while idle.
     ClientCompletion completion;
     EchoedHeader echoed;
@@ -55,11 +65,11 @@
     bool sent = false; ///< A byte of the request may have reached the server.
     bool writing = false;
     bool headRequest = false;
-    std::size_t bodyBytes = 0; ///< Received bytes of the body; this connection's part of m_bodyBytes.
+    bool awaitsRoom = false; ///< The response waits unread for room in the memory budget.
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
 
-std::string serialize(const HttpRequest &request)
+std::string formatHead(const HttpRequest &request)
 {
     std::string out = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
     for (const auto &[name, value] : request.headers) {
@@ -69,7 +79,6 @@
         absl::StrAppend(&out, "Content-Length: ", request.body.size(), "\r\n");
     }
     out += "\r\n";
-    out += request.body;
     return out;
 }
 
@@ -79,6 +88,7 @@
     HttpClient(EventLoop &loop, const HttpClientSettings &settings)
         : m_loop(loop)
         , m_settings(settings)
+        , m_memory(settings.memory ? settings.memory : makeDefaultMemoryBudget())
     {
     }
 
@@ -100,11 +110,16 @@
     ConnectionPointer popIdle(const Endpoint &server);
     void connect(const ConnectionPointer &connection);
     void write(const ConnectionPointer &connection);
+    void writeSome(const ConnectionPointer &connection);
     void prepareParser(Connection &connection) const;
-    void setBodyBytes(Connection &connection, std::size_t bytes);
+    void updateCharge(Connection &connection) const;
+    bool prepareBody(const ConnectionPointer &connection);
+    void awaitRoom(const ConnectionPointer &connection);
     static bool isStale(const Connection &connection);
     void read(const ConnectionPointer &connection);
     void onBytes(const ConnectionPointer &connection);
+    void onReadable(const ConnectionPointer &connection);
+    void breakForMemory(const ConnectionPointer &connection);
     void onReadError(const ConnectionPointer &connection, const error_code &error);
     void finishMessage(const ConnectionPointer &connection);
     ClientCompletion popCompletion(const ConnectionPointer &connection);
@@ -118,7 +133,7 @@
     SystemClock m_clock;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_opened = 0;
-    std::size_t m_bodyBytes = 0; ///< Received bytes of the bodies of all responses that are not complete.
+    std::shared_ptr<MemoryBudget> m_memory;
     absl::flat_hash_map<ClientCallId, ConnectionPointer> m_calls;
     absl::flat_hash_map<Endpoint, std::vector<ConnectionPointer>> m_idle;
 };
@@ -135,11 +150,14 @@
     if (isNew) {
         connection = std::make_shared<Connection>(m_loop.context());
         connection->server = server;
+        connection->charge = MemoryCharge(m_memory, m_settings.owner);
     }
     connection->call = call;
     connection->completion = std::move(completion);
     connection->echoed = echoed;
-    connection->output = serialize(request);
+    connection->output = formatHead(request);
+    connection->outputBody = request.body;
+    updateCharge(*connection);
     connection->headRequest = request.method == "HEAD";
     connection->sent = false;
     connection->lastActivity = m_clock.now();
@@ -183,6 +201,9 @@
             complete(connection, {.outcome = ClientOutcome::NotSent, .sentAnything = false, .response = {}});
         }
     });
+    error_code ignored; // Connecting reports a socket that cannot be opened.
+    connection->socket.open(Tcp::v4(), ignored);
+    limitSocketBuffers(connection->socket, *m_memory);
     connection->socket.async_connect(
         toTcpEndpoint(connection->server), [this, connection, connectTimer](const error_code &error) {
             m_loop.cancel(connectTimer);
@@ -200,9 +221,9 @@
                 return;
             }
             connection->connected = true;
-            error_code ignored; // The write reports a closed connection.
-            connection->socket.set_option(Tcp::no_delay(true), ignored);
-            connection->socket.non_blocking(true, ignored);
+            error_code unset; // The write reports a closed connection.
+            connection->socket.set_option(Tcp::no_delay(true), unset);
+            connection->socket.non_blocking(true, unset);
             setTcpUserTimeout(connection->socket, TcpUserTimeout);
             read(connection);
             write(connection);
@@ -214,26 +235,53 @@
 void HttpClient::write(const ConnectionPointer &connection)
 {
     connection->sent = true;
+    connection->written = 0;
+    connection->writing = true;
     prepareParser(*connection);
-    error_code ignored; // The read reports a failed write; it may still receive an early response.
-    const std::size_t written = connection->socket.write_some(asio::buffer(connection->output), ignored);
-    connection->writing = written < connection->output.size();
-    if (connection->writing) {
-        asio::async_write(connection->socket,
-                          asio::buffer(connection->output) + written,
-                          [connection](const error_code & /*error*/, std::size_t /*bytes*/) {
-                              connection->writing = false;
-                          });
+    writeSome(connection);
+}
+
+void HttpClient::writeSome(const ConnectionPointer &connection)
+{
+    const std::string &head = connection->output;
+    const std::string &body = connection->outputBody.bytes();
+    const std::size_t headWritten = std::min(connection->written, head.size());
+    const std::size_t bodyWritten = connection->written - headWritten;
+    const std::array<asio::const_buffer, 2> rest{asio::buffer(head) + headWritten, asio::buffer(body) + bodyWritten};
+    error_code error;
+    connection->written += connection->socket.write_some(rest, error);
+    connection->writing = connection->written < head.size() + body.size();
+    if (!connection->writing) {
+        connection->output = {};
+        connection->outputBody = {};
+        updateCharge(*connection);
+    } else if (!error || error == asio::error::would_block) {
+        connection->socket.async_wait(Tcp::socket::wait_write, [this, connection](const error_code &waited) {
+            if (!waited && connection->socket.is_open()) {
+                writeSome(connection);
+            }
+        });
     }
+    // The read reports a failed write; it may still receive an early response.
+}
+
+/// Charges the memory of the connection except its bodies, which have charges of their own.
+void HttpClient::updateCharge(Connection &connection) const
+{
+    connection.charge.resize(ConnectionBytes + connection.input.capacity() + connection.output.size()
+                             + (connection.parser ? connection.head.bytes() : 0));
 }
 
 void HttpClient::prepareParser(Connection &connection) const
 {
     connection.parser.emplace();
-    connection.parser->eager(true);
+    connection.head = {};
+    connection.parser->eager(false); // Room for the body is reserved when the head is complete.
     connection.parser->skip(connection.headRequest);
     connection.parser->header_limit(MaxHeadBytes);
     connection.parser->body_limit(m_settings.maxBodyBytes);
+    connection.parser->get().body().charge = MemoryCharge(m_memory, m_settings.owner);
+    connection.parser->get().body().maxBytes = m_settings.maxBodyBytes;
 }
 
 bool HttpClient::isStale(const Connection &connection)
@@ -267,25 +315,81 @@
         connection->lastActivity = m_clock.now();
         const auto room = connection->input.prepare(bytes);
         connection->input.commit(asio::buffer_copy(room, asio::buffer(receiveBuffer().data(), bytes)));
-        onBytes(connection);
-        if (connection->socket.is_open()) {
-            read(connection);
+        onReadable(connection);
+    });
+}
+
+/// Handles received bytes and reads on, unless the response waits for room.
+void HttpClient::onReadable(const ConnectionPointer &connection)
+{
+    onBytes(connection);
+    if (!connection->socket.is_open()) {
+        return;
+    }
+    if (connection->input.capacity() > 2 * connection->input.size() + MaxIdleInputBytes) {
+        connection->input.shrink_to_fit();
+    }
+    if (connection->call.value != 0) {
+        updateCharge(*connection);
+    }
+    if (!connection->awaitsRoom) {
+        read(connection);
+    }
+}
+
+/// Reserves the room for the body once the head is complete. Returns false if the body cannot be read now.
+bool HttpClient::prepareBody(const ConnectionPointer &connection)
+{
+    auto &parser = *connection->parser;
+    if (!parser.is_header_done()) {
+        return true;
+    }
+    if (reserveKnownBody(parser)) {
+        parser.eager(true);
+        return true;
+    }
+    if (parser.content_length().value_or(0) > m_memory->largeLimit()) {
+        breakForMemory(connection);
+    } else {
+        awaitRoom(connection);
+    }
+    return false;
+}
+
+void HttpClient::awaitRoom(const ConnectionPointer &connection)
+{
+    connection->awaitsRoom = true;
+    m_loop.callAfter(RoomCheckInterval, [this, connection] {
+        if (connection->awaitsRoom && connection->socket.is_open() && connection->call.value != 0) {
+            connection->awaitsRoom = false;
+            onReadable(connection);
         }
     });
 }
 
+void HttpClient::breakForMemory(const ConnectionPointer &connection)
+{
+    ClientLog.warning("Messages in memory leave no room for a response; it is cut off. Check the sizes of the "
+                      "server's responses.",
+                      {{"server", connection->server.text()},
+                       {"bytes", std::to_string(m_memory->used())},
+                       {"limit", std::to_string(m_memory->limit())}});
+    close(connection);
+    complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
+}
+
 void HttpClient::onBytes(const ConnectionPointer &connection)
 {
     while (connection->call.value != 0 && connection->input.size() > 0) {
+        if (!prepareBody(connection)) {
+            return;
+        }
         error_code error;
-        connection->input.consume(connection->parser->put(connection->input.data(), error));
-        setBodyBytes(*connection, connection->parser->get().body().size());
-        if (m_bodyBytes > m_settings.maxTotalBodyBytes) {
-            ClientLog.warning("Responses in memory exceed " + std::to_string(m_settings.maxTotalBodyBytes)
-                                  + " bytes; one is cut off. Check the sizes of the server's responses.",
-                              {{"server", connection->server.text()}, {"bytes", std::to_string(m_bodyBytes)}});
-            close(connection);
-            complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
+        const auto input = connection->input.data();
+        connection->input.consume(parseBytes(
+            *connection->parser, {static_cast<const char *>(input.data()), input.size()}, connection->head, error));
+        if (error == http::error::buffer_overflow) {
+            breakForMemory(connection);
             return;
         }
         const bool framingTooLong = error == http::error::need_more && connection->input.size() > MaxHeadBytes;
@@ -302,6 +406,9 @@
             return;
         }
         if (!connection->parser->is_done()) {
+            if (!prepareBody(connection)) {
+                return;
+            }
             continue;
         }
         const bool interim = connection->parser->get().result_int() < 200;
@@ -340,7 +447,7 @@
     for (const auto &field : message) {
         result.response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
-    result.response.body = std::move(message.body());
+    result.response.body = Body(std::move(message.body().bytes), std::move(message.body().charge));
     result.response.closeConnection = !message.keep_alive();
     // Bytes after the response make the connection unusable, and so does a request that is still being written because
     // the server answered without waiting for its body.
@@ -375,12 +482,6 @@
     return std::min<Duration>(m_settings.idleLifetime, std::chrono::seconds(seconds) - IdleMargin);
 }
 
-void HttpClient::setBodyBytes(Connection &connection, std::size_t bytes)
-{
-    m_bodyBytes += bytes - connection.bodyBytes;
-    connection.bodyBytes = bytes;
-}
-
 /// Ends the call of the connection and returns its completion; empty if the call was cancelled.
 ClientCompletion HttpClient::popCompletion(const ConnectionPointer &connection)
 {
@@ -390,10 +491,11 @@
     m_loop.cancel(connection->timer);
     connection->timer = 0;
     connection->call = {};
-    setBodyBytes(*connection, 0);
-    if (!connection->writing) {
-        connection->output = {};
-    }
+    connection->parser.reset();
+    connection->awaitsRoom = false;
+    connection->output = {};
+    connection->outputBody = {};
+    connection->charge.resize(0);
     return std::exchange(connection->completion, nullptr);
 }
 
@@ -434,7 +536,9 @@
     m_loop.cancel(connection->timer);
     connection->call = {};
     connection->completion = nullptr;
-    setBodyBytes(*connection, 0);
+    connection->parser.reset();
+    connection->outputBody = {};
+    connection->charge.resize(0);
     close(connection);
 }
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -1,18 +1,20 @@
 #include "net/httpserver.h"
 
 #include "base/log.h"
+#include "net/internal/chargedbody.h"
 #include "net/internal/receivebuffer.h"
 #include "net/internal/requestframing.h"
+#include "net/internal/socketbuffers.h"
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -35,6 +37,17 @@
 constexpr std::size_t MaxPipelinedBytes = 65536;
 /// Requests of one connection that are processed concurrently.
 constexpr std::size_t MaxPipelinedRequests = 32;
+/// Unconfirmed bytes of responses above which the kernel is asked how many it still holds.
+constexpr std::size_t UncheckedSentBytes = 16384;
+/// Memory of a connection without its buffers, and of a request without its head and body.
+constexpr std::size_t ConnectionBytes = 4096;
+constexpr std::size_t RequestBytes = 4096;
+/// How often a request's head is in memory: as received, as stored for retries, and as sent to a node.
+constexpr std::size_t HeadCopies = 3;
+/// Capacity above which the input buffer of a connection is released when it is not filled.
+constexpr std::size_t MaxIdleInputBytes = 4096;
+/// Time without progress after which a caller is cut off while memory is scarce.
+constexpr Duration StallTimeout = std::chrono::seconds(1);
 /// Interval at which connections are checked for timeouts.
 constexpr Duration SweepInterval = std::chrono::milliseconds(500);
 /// Time limit for sending one response to a caller that reads slowly.
@@ -60,9 +73,10 @@
 class HttpServer final : public IHttpServer
 {
 public:
-    HttpServer(EventLoop &loop, IHttpListener &listener)
+    HttpServer(EventLoop &loop, IHttpListener &listener, std::shared_ptr<MemoryBudget> memory)
         : m_loop(loop)
         , m_listener(listener)
+        , m_memory(memory ? std::move(memory) : makeDefaultMemoryBudget())
         , m_acceptor(loop.context())
     {
     }
@@ -72,6 +86,7 @@
         error_code error;
         m_acceptor.open(Tcp::v4(), error);
         m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        limitSocketBuffers(m_acceptor, *m_memory);
         m_acceptor.bind(toTcpEndpoint(endpoint), error);
         if (!error) {
             m_acceptor.listen(asio::socket_base::max_listen_connections, error);
@@ -103,11 +118,6 @@
         return m_connections.size();
     }
 
-    [[nodiscard]] std::size_t bufferedBytes() const override
-    {
-        return m_bufferedBytes;
-    }
-
     [[nodiscard]] bool hasUnsentResponses() const override
     {
         return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
@@ -126,7 +136,7 @@
     struct Exchange {
         ExchangeId id;
         bool head = false; ///< HEAD request; the response has no body.
-        std::size_t bytes = 0; ///< Size of the request's target and body.
+        MemoryCharge charge; ///< Of the request without its body, until the response is being sent.
         std::optional<HttpResponse> response; ///< Sent once the earlier requests are answered.
     };
 
@@ -139,11 +149,16 @@
         std::uint64_t id = 0;
         Tcp::socket socket;
         boost::beast::flat_buffer input;
-        std::optional<http::request_parser<http::string_body>> parser;
-        std::string output;
+        std::optional<http::request_parser<ChargedBody>> parser;
+        HeadMemory head; ///< Of the request that is being parsed.
+        std::string output; ///< Head of the response that is being sent.
+        Body outputBody;
+        std::size_t written = 0; ///< Bytes of output and outputBody that the kernel has taken.
+        std::size_t unconfirmedBytes = 0; ///< Bytes of responses that the kernel may still hold.
         std::string peerAddress;
         std::deque<Exchange> exchanges; ///< In the order in which the requests were received.
         TimePoint phaseStart; ///< Start of the current phase.
+        TimePoint lastProgress; ///< When the caller last sent bytes or took bytes of a response.
         bool readPending = false;
         bool answeredBefore = false; ///< At least one response was sent.
         bool closeRequested = false; ///< No further requests are accepted; the last response has "Connection: close".
@@ -151,7 +166,8 @@
         bool parsePosted = false; ///< parse() is called by the loop soon.
         bool sending = false; ///< A response is being written and the socket accepts no more bytes.
         bool lingering = false;
-        std::size_t bufferedBytes = 0; ///< This connection's part of m_bufferedBytes.
+        bool readPaused = false; ///< Received bytes wait in the kernel's buffer.
+        MemoryCharge charge; ///< Of the connection, its buffers and those of the kernel.
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -162,27 +178,34 @@
     void onBytes(const ConnectionPointer &connection, std::size_t bytes);
     void parse(const ConnectionPointer &connection);
     void parseRequests(const ConnectionPointer &connection);
-    static std::size_t missingBodyBytes(const Connection &connection);
+    void closeStalledConnections();
+    void refuseForMemory(const ConnectionPointer &connection);
+    static std::size_t memoryOfRequest(const http::request_header<> &header);
+    [[nodiscard]] std::size_t memoryOfConnection(const Connection &connection) const;
+    static void shrinkInput(Connection &connection);
+    static void checkUnconfirmedBytes(Connection &connection);
     static bool isClosedByCaller(Connection &connection);
     bool dispatchRequest(const ConnectionPointer &connection);
     void refuse(const ConnectionPointer &connection, int status);
     void sendNext(const ConnectionPointer &connection);
     void sendFront(const ConnectionPointer &connection);
+    bool writeSome(const ConnectionPointer &connection, error_code &error);
+    void awaitWritable(const ConnectionPointer &connection, bool last);
     void onSent(const ConnectionPointer &connection, bool last);
-    static std::string format(const Exchange &exchange, bool lastResponse);
+    static std::string formatHead(const HttpResponse &response, bool lastResponse);
     void linger(const ConnectionPointer &connection);
     void close(const ConnectionPointer &connection);
     static Phase phase(const Connection &connection);
     static bool acceptsRequests(const Connection &connection);
-    void updateBufferedBytes(Connection &connection);
+    void abort(const ConnectionPointer &connection);
 
     EventLoop &m_loop;
     IHttpListener &m_listener;
+    std::shared_ptr<MemoryBudget> m_memory;
     Tcp::acceptor m_acceptor;
     SystemClock m_clock; // The same clock as Asio's timers.
     HttpServerLimits m_limits;
     bool m_draining = false;
-    std::size_t m_bufferedBytes = 0;
     std::uint64_t m_lastId = 0;
     absl::flat_hash_map<std::uint64_t, ConnectionPointer> m_connections;
     absl::flat_hash_map<ExchangeId, std::uint64_t> m_exchanges;
@@ -209,6 +232,9 @@
         connection->peerAddress = connection->socket.remote_endpoint(ignored).address().to_string(ignored);
         connection->id = ++m_lastId;
         connection->phaseStart = m_clock.now();
+        connection->lastProgress = connection->phaseStart;
+        connection->charge = MemoryCharge(m_memory, MemoryOwner::Caller);
+        connection->charge.resize(memoryOfConnection(*connection));
         m_connections.emplace(connection->id, connection);
         read(connection);
         closeIdleConnections();
@@ -243,6 +269,48 @@
     }
 }
 
+/// Cuts off the callers that have not got on for longest with sending a request or reading responses, until memory is
+/// no longer scarce.
+void HttpServer::closeStalledConnections()
+{
+    if (!m_memory->isScarce()) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    std::vector<ConnectionPointer> stalled;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->unconfirmedBytes > 0) {
+            const std::size_t before = connection->unconfirmedBytes;
+            checkUnconfirmedBytes(*connection);
+            connection->charge.resize(memoryOfConnection(*connection));
+            if (connection->unconfirmedBytes < before) {
+                connection->lastProgress = now;
+            }
+        }
+        const Phase current = phase(*connection);
+        const bool waits = current == Phase::Reading || current == Phase::Sending || connection->readPaused
+            || connection->unconfirmedBytes > 0;
+        if (waits && now - connection->lastProgress >= StallTimeout) {
+            stalled.push_back(connection);
+        }
+    }
+    std::sort(stalled.begin(), stalled.end(), [](const ConnectionPointer &a, const ConnectionPointer &b) {
+        return a->lastProgress < b->lastProgress;
+    });
+    std::size_t count = 0;
+    while (count < stalled.size() && m_memory->isScarce()) {
+        abort(stalled[count]);
+        ++count;
+    }
+    if (count > 0) {
+        ServerLog.warning("Memory is scarce; connections of callers that do not get on are closed. If they are callers "
+                          "that should be served, raise the memory of the VM.",
+                          {{"closed", std::to_string(count)},
+                           {"bytes", std::to_string(m_memory->used())},
+                           {"limit", std::to_string(m_memory->limit())}});
+    }
+}
+
 void HttpServer::sweep()
 {
     const TimePoint now = m_clock.now();
@@ -263,6 +331,7 @@
     for (const ConnectionPointer &connection : expired) {
         close(connection);
     }
+    closeStalledConnections();
 }
 
 void HttpServer::read(const ConnectionPointer &connection)
@@ -293,16 +362,65 @@
 
 void HttpServer::onBytes(const ConnectionPointer &connection, std::size_t bytes)
 {
+    connection->lastProgress = m_clock.now();
     if (!connection->lingering && !connection->closeRequested) {
+        if (connection->exchanges.empty() && !connection->sending) {
+            connection->unconfirmedBytes = 0; // The caller sends its next request after the last response.
+        }
         const auto room = connection->input.prepare(bytes);
         connection->input.commit(asio::buffer_copy(room, asio::buffer(receiveBuffer().data(), bytes)));
     }
     parse(connection);
-    if (connection->input.size() < MaxPipelinedBytes || acceptsRequests(*connection)) {
+    if (!connection->socket.is_open()) {
+        return;
+    }
+    shrinkInput(*connection);
+    connection->readPaused = connection->input.size() >= MaxPipelinedBytes && !acceptsRequests(*connection);
+    const bool fits = connection->charge.tryResize(memoryOfConnection(*connection));
+    if (!fits && connection->readPaused) {
+        ServerLog.warning("No memory for the pipelined requests of a caller; its connection is closed.",
+                          {{"caller", connection->peerAddress}, {"bytes", std::to_string(m_memory->used())}});
+        abort(connection);
+        return;
+    }
+    if (!fits && !connection->closeRequested) {
+        refuseForMemory(connection);
+    }
+    connection->charge.resize(memoryOfConnection(*connection));
+    if (!connection->readPaused) {
         read(connection);
     }
 }
 
+void HttpServer::shrinkInput(Connection &connection)
+{
+    if (connection.input.capacity() > 2 * connection.input.size() + MaxIdleInputBytes) {
+        connection.input.shrink_to_fit();
+    }
+}
+
+std::size_t HttpServer::memoryOfConnection(const Connection &connection) const
+{
+    const std::size_t unreadBytes = connection.readPaused ? static_cast<std::size_t>(socketBufferBytes(*m_memory)) : 0;
+    return ConnectionBytes + connection.input.capacity() + (connection.parser ? connection.head.bytes() : 0)
+        + connection.output.size() + connection.unconfirmedBytes + unreadBytes;
+}
+
+std::size_t HttpServer::memoryOfRequest(const http::request_header<> &header)
+{
+    return RequestBytes + HeadCopies * (header.target().size() + HeadMemory::memoryOfFields(header));
+}
+
+/// Updates the number of bytes of responses that the kernel holds. Without an answer of the kernel it stays.
+void HttpServer::checkUnconfirmedBytes(Connection &connection)
+{
+    int unsent = 0;
+    if (connection.socket.is_open() && ioctl(connection.socket.native_handle(), SIOCOUTQ, &unsent) == 0
+        && unsent >= 0) {
+        connection.unconfirmedBytes = std::min(connection.unconfirmedBytes, static_cast<std::size_t>(unsent));
+    }
+}
+
 bool HttpServer::acceptsRequests(const Connection &connection)
 {
     return !connection.closeRequested && !connection.lingering && connection.exchanges.size() < MaxPipelinedRequests;
@@ -325,25 +443,26 @@
     while (connection->input.size() > 0 && acceptsRequests(*connection)) {
         if (!connection->parser) {
             connection->parser.emplace();
+            connection->head = {};
             connection->parser->eager(true);
             connection->parser->header_limit(static_cast<std::uint32_t>(m_limits.headBytes));
             connection->parser->body_limit(m_limits.bodyBytes);
+            connection->parser->get().body().charge = MemoryCharge(m_memory, MemoryOwner::Caller);
+            connection->parser->get().body().maxBytes = m_limits.bodyBytes;
             connection->phaseStart = connection->exchanges.empty() ? m_clock.now() : connection->phaseStart;
         }
         error_code error;
-        const std::size_t used = connection->parser->put(connection->input.data(), error);
+        const auto input = connection->input.data();
+        const std::size_t used = parseBytes(
+            *connection->parser, {static_cast<const char *>(input.data()), input.size()}, connection->head, error);
         connection->input.consume(used);
         if (connection->parser->is_header_done() && hasAmbiguousFraming(connection->parser->get())) {
             refuse(connection, 400);
             return;
         }
-        updateBufferedBytes(*connection);
-        if (m_bufferedBytes + missingBodyBytes(*connection) > m_limits.bufferedBytes) {
-            ServerLog.warning("Requests and responses in memory exceed " + std::to_string(m_limits.bufferedBytes)
-                                  + " bytes; a request of " + connection->peerAddress + " is refused with 503.",
-                              {{"bytes", std::to_string(m_bufferedBytes)},
-                               {"missing", std::to_string(missingBodyBytes(*connection))}});
-            refuse(connection, 503);
+        if (error == http::error::buffer_overflow
+            || (!error && connection->parser->is_header_done() && !reserveKnownBody(*connection->parser))) {
+            refuseForMemory(connection);
             return;
         }
         // The parser keeps the bytes of a line of a chunked body, or of the fields after its last chunk, until it is
@@ -364,13 +483,17 @@
     }
 }
 
-/// Bytes of the body that have not been received yet, as far as its length is known.
-std::size_t HttpServer::missingBodyBytes(const Connection &connection)
+/// Answers a request with 503 because there is no room for it in the memory budget.
+void HttpServer::refuseForMemory(const ConnectionPointer &connection)
 {
-    if (!connection.parser || !connection.parser->is_header_done() || connection.parser->is_done()) {
-        return 0;
-    }
-    return static_cast<std::size_t>(connection.parser->content_length_remaining().value_or(0));
+    ServerLog.warning("Messages in memory leave no room for a request; it is refused with 503.",
+                      {{"caller", connection->peerAddress},
+                       {"bytes", std::to_string(m_memory->used())},
+                       {"limit", std::to_string(m_memory->limit())},
+                       {"for_callers", std::to_string(m_memory->usedFor(MemoryOwner::Caller))},
+                       {"for_instance", std::to_string(m_memory->usedFor(MemoryOwner::Instance))},
+                       {"for_nodes", std::to_string(m_memory->usedFor(MemoryOwner::Node))}});
+    refuse(connection, 503);
 }
 
 /// Returns whether the caller has already closed its side. Its request may have waited for long before it was read.
@@ -387,6 +510,11 @@
         close(connection);
         return false;
     }
+    MemoryCharge charge(m_memory, MemoryOwner::Caller);
+    if (!charge.tryResize(memoryOfRequest(connection->parser->get()))) {
+        refuseForMemory(connection);
+        return false;
+    }
     auto message = connection->parser->release();
     connection->parser.reset();
     HttpRequest request;
@@ -395,15 +523,14 @@
     for (const auto &field : message) {
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
-    request.body = std::move(message.body());
+    request.body = Body(std::move(message.body().bytes), std::move(message.body().charge));
     connection->closeRequested |= !message.keep_alive();
     Exchange exchange;
     exchange.id = ExchangeId{++m_lastId};
     exchange.head = message.method() == http::verb::head;
-    exchange.bytes = request.body.size() + request.target.size();
+    exchange.charge = std::move(charge);
     const ExchangeId id = exchange.id;
     connection->exchanges.push_back(std::move(exchange));
-    updateBufferedBytes(*connection);
     m_exchanges.emplace(id, connection->id);
     m_listener.onRequest(id, std::move(request), connection->peerAddress);
     return connection->socket.is_open();
@@ -413,6 +540,8 @@
 void HttpServer::refuse(const ConnectionPointer &connection, int status)
 {
     connection->parser.reset();
+    connection->input.clear();
+    shrinkInput(*connection);
     connection->closeRequested = true;
     Exchange exchange;
     exchange.response.emplace().status = status;
@@ -439,6 +568,8 @@
         std::find_if(connection->exchanges.begin(), connection->exchanges.end(), [exchange](const Exchange &candidate) {
             return candidate.id == exchange;
         });
+    // The head is in memory already; its body has a charge of its own.
+    item->charge.resize(RequestBytes + memoryOf(response.headers));
     item->response = std::move(response);
     sendNext(connection);
 }
@@ -452,11 +583,12 @@
         sendFront(connection);
         sent = true;
     }
-    updateBufferedBytes(*connection);
+    connection->charge.resize(memoryOfConnection(*connection));
     if (!sent || connection->sending || connection->lingering || !connection->socket.is_open()) {
         return;
     }
     // Reading may have paused because of the number of requests.
+    connection->readPaused = false;
     read(connection);
     if (connection->input.size() > 0 && !connection->parsing && !connection->parsePosted) {
         // Parsed later, because respond() must not re-enter the listener.
@@ -475,43 +607,75 @@
 /// may already be running.
 void HttpServer::sendFront(const ConnectionPointer &connection)
 {
-    const Exchange exchange = std::move(connection->exchanges.front());
+    Exchange exchange = std::move(connection->exchanges.front());
     connection->exchanges.pop_front();
     connection->closeRequested |= exchange.response->closeConnection || m_draining;
     const bool last = connection->closeRequested && connection->exchanges.empty();
-    connection->output = format(exchange, last);
+    connection->output = formatHead(*exchange.response, last);
+    connection->outputBody = exchange.head ? Body() : std::move(exchange.response->body);
+    connection->written = 0;
     connection->phaseStart = m_clock.now();
     error_code error;
-    const std::size_t written = connection->socket.write_some(asio::buffer(connection->output), error);
-    if (written == connection->output.size()) {
+    if (writeSome(connection, error)) {
         onSent(connection, last);
         return;
     }
     connection->sending = true;
     // Also reports the error of a failed write, since the listener must not be re-entered from here.
-    asio::async_write(connection->socket,
-                      asio::buffer(connection->output) + written,
-                      [this, connection, last](const error_code &asyncError, std::size_t /*bytes*/) {
-                          if (!connection->socket.is_open()) {
-                              return;
-                          }
-                          connection->sending = false;
-                          if (asyncError) {
-                              close(connection);
-                              return;
-                          }
-                          onSent(connection, last);
-                          sendNext(connection);
-                          if (!connection->lingering) {
-                              parse(connection);
-                              read(connection);
-                          }
-                      });
+    awaitWritable(connection, last);
+}
+
+/// Writes what the socket accepts. Returns whether the response is written completely.
+bool HttpServer::writeSome(const ConnectionPointer &connection, error_code &error)
+{
+    const std::string &head = connection->output;
+    const std::string &body = connection->outputBody.bytes();
+    const std::size_t headWritten = std::min(connection->written, head.size());
+    const std::size_t bodyWritten = connection->written - headWritten;
+    const std::array<asio::const_buffer, 2> rest{asio::buffer(head) + headWritten, asio::buffer(body) + bodyWritten};
+    const std::size_t bytes = connection->socket.write_some(rest, error);
+    connection->written += bytes;
+    connection->unconfirmedBytes += bytes;
+    if (bytes > 0) {
+        connection->lastProgress = m_clock.now();
+    }
+    if (connection->unconfirmedBytes > UncheckedSentBytes) {
+        checkUnconfirmedBytes(*connection);
+    }
+    return connection->written == head.size() + body.size();
+}
+
+void HttpServer::awaitWritable(const ConnectionPointer &connection, bool last)
+{
+    connection->socket.async_wait(Tcp::socket::wait_write, [this, connection, last](const error_code &waited) {
+        if (!connection->socket.is_open()) {
+            return;
+        }
+        error_code error = waited;
+        const bool complete = !error && writeSome(connection, error);
+        if (error && error != asio::error::would_block) {
+            close(connection);
+            return;
+        }
+        connection->charge.resize(memoryOfConnection(*connection));
+        if (!complete) {
+            awaitWritable(connection, last);
+            return;
+        }
+        connection->sending = false;
+        onSent(connection, last);
+        sendNext(connection);
+        if (!connection->lingering) {
+            parse(connection);
+            read(connection);
+        }
+    });
 }
 
 void HttpServer::onSent(const ConnectionPointer &connection, bool last)
 {
-    connection->output.clear();
+    connection->output = {};
+    connection->outputBody = {};
     if (last) {
         linger(connection);
         return;
@@ -520,9 +684,8 @@
     connection->phaseStart = m_clock.now();
 }
 
-std::string HttpServer::format(const Exchange &exchange, bool lastResponse)
+std::string HttpServer::formatHead(const HttpResponse &response, bool lastResponse)
 {
-    const HttpResponse &response = *exchange.response;
     std::string out =
         absl::StrCat("HTTP/1.1 ", response.status, " ", std::string(reasonPhrase(response.status)), "\r\n");
     for (const auto &[name, value] : response.headers) {
@@ -532,9 +695,6 @@
         absl::StrAppend(&out, "Content-Length: ", response.body.size(), "\r\n");
     }
     out += lastResponse ? "Connection: close\r\n\r\n" : "\r\n";
-    if (!exchange.head) {
-        out += response.body;
-    }
     return out;
 }
 
@@ -545,16 +705,24 @@
     connection->lingering = true;
     connection->phaseStart = m_clock.now();
     connection->input.clear();
+    connection->readPaused = false;
+    shrinkInput(*connection);
     read(connection);
 }
 
+/// Closes with a reset, so that the kernel drops the bytes that the caller has not taken.
+void HttpServer::abort(const ConnectionPointer &connection)
+{
+    error_code ignored; // The caller may have closed first.
+    connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close(connection);
+}
+
 void HttpServer::close(const ConnectionPointer &connection)
 {
     if (m_connections.erase(connection->id) == 0) {
         return;
     }
-    m_bufferedBytes -= connection->bufferedBytes;
-    connection->bufferedBytes = 0;
     error_code ignored; // The caller may have closed first.
     connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
     connection->socket.close(ignored);
@@ -566,6 +734,13 @@
             abandoned.push_back(exchange.id);
         }
     }
+    // The connection itself may live on until its last callback.
+    connection->exchanges.clear();
+    connection->parser.reset();
+    connection->input = {};
+    connection->output = {};
+    connection->outputBody = {};
+    connection->charge.resize(0);
     for (const ExchangeId exchange : abandoned) {
         m_listener.onExchangeAbandoned(exchange);
     }
@@ -585,21 +760,12 @@
     return connection.parser ? Phase::Reading : Phase::Idle;
 }
 
-void HttpServer::updateBufferedBytes(Connection &connection)
-{
-    std::size_t bytes = connection.output.size() + (connection.parser ? connection.parser->get().body().size() : 0);
-    for (const Exchange &exchange : connection.exchanges) {
-        bytes += exchange.bytes + (exchange.response ? exchange.response->body.size() : 0);
-    }
-    m_bufferedBytes += bytes - connection.bufferedBytes;
-    connection.bufferedBytes = bytes;
-}
-
 } // namespace
 
-std::unique_ptr<IHttpServer> makeHttpServer(EventLoop &loop, IHttpListener &listener)
+std::unique_ptr<IHttpServer>
+makeHttpServer(EventLoop &loop, IHttpListener &listener, std::shared_ptr<MemoryBudget> memory)
 {
-    return std::make_unique<HttpServer>(loop, listener);
+    return std::make_unique<HttpServer>(loop, listener, std::move(memory));
 }
 
 std::string_view reasonPhrase(int status)
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "net/internal/frameconnection.h"
+#include "net/internal/socketbuffers.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/ip/udp.hpp>
@@ -36,6 +37,7 @@
         : m_loop(loop)
         , m_listener(listener)
         , m_settings(settings)
+        , m_memory(settings.memory ? settings.memory : makeDefaultMemoryBudget())
         , m_acceptor(loop.context())
         , m_datagrams(loop.context())
     {
@@ -86,6 +88,8 @@
     void onConnected(const Endpoint &node, const FramePointer &connection);
     void onReplyFrame(const Endpoint &node, Frame frame);
     void onRequestFrame(const FramePointer &connection, Frame frame);
+    void onSkippedReply(const Endpoint &node, Frame frame);
+    void refuseSkipped(const FramePointer &connection, const Frame &frame);
     void abandonCalls(const FramePointer &connection);
     Duration measureExcessDelay(InboundConnection &inbound, Duration sentAt) const;
     void refuseExpired(const FramePointer &connection, const CallRequest &request);
@@ -99,6 +103,7 @@
     EventLoop &m_loop;
     IPeerListener &m_listener;
     PeerLinkSettings m_settings;
+    std::shared_ptr<MemoryBudget> m_memory;
     SystemClock m_clock;
     Tcp::acceptor m_acceptor;
     Udp::socket m_datagrams;
@@ -116,6 +121,7 @@
     error_code error;
     m_acceptor.open(Tcp::v4(), error);
     m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    limitSocketBuffers(m_acceptor, *m_memory);
     m_acceptor.bind(toTcpEndpoint(endpoint), error);
     if (!error) {
         m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
@@ -150,7 +156,7 @@
             });
             return;
         }
-        auto connection = std::make_shared<FrameConnection>(std::move(socket), m_settings.maxFrameBytes);
+        auto connection = std::make_shared<FrameConnection>(std::move(socket), m_memory);
         setTcpUserTimeout(connection->socket(), TcpUserTimeout);
         m_inbound[connection] = {};
         const std::weak_ptr<FrameConnection> weak = connection;
@@ -160,6 +166,12 @@
                                        onRequestFrame(caller, std::move(frame));
                                    }
                                },
+                           .onBodySkipped =
+                               [this, weak](const Frame &frame) {
+                                   if (const FramePointer caller = weak.lock()) {
+                                       refuseSkipped(caller, frame);
+                                   }
+                               },
                            .onClosed =
                                [this, weak] {
                                    if (const FramePointer caller = weak.lock()) {
@@ -271,7 +283,7 @@
     }
     if (peer.connection) {
         peer.inFlight[id] = true;
-        peer.connection->send(frame);
+        peer.connection->send(std::move(frame));
         return;
     }
     peer.unsent.emplace(id, std::move(frame));
@@ -283,10 +295,13 @@
 
 void PeerLink::connect(const Endpoint &node)
 {
-    auto connection = std::make_shared<FrameConnection>(Tcp::socket(m_loop.context()), m_settings.maxFrameBytes);
+    auto connection = std::make_shared<FrameConnection>(Tcp::socket(m_loop.context()), m_memory);
+    error_code ignored; // Connecting reports a socket that cannot be opened.
+    connection->socket().open(Tcp::v4(), ignored);
+    limitSocketBuffers(connection->socket(), *m_memory);
     const EventLoop::TimerId connectTimer = m_loop.callAfter(m_settings.connectTimeout, [connection] {
-        error_code ignored; // Closing aborts the connection attempt, which reports the failure.
-        connection->socket().close(ignored);
+        error_code unused; // Closing aborts the connection attempt, which reports the failure.
+        connection->socket().close(unused);
     });
     connection->socket().async_connect(toTcpEndpoint(node),
                                        [this, node, connection, connectTimer](const error_code &error) {
@@ -309,6 +324,10 @@
                            [this, node](Frame frame) {
                                onReplyFrame(node, std::move(frame));
                            },
+                       .onBodySkipped =
+                           [this, node](Frame frame) {
+                               onSkippedReply(node, std::move(frame));
+                           },
                        .onClosed =
                            [this, node] {
                                failPeer(node);
@@ -317,7 +336,7 @@
     connection->send(LinkProbe{.sequence = ++m_lastId, .answer = false, .sentAt = m_clock.elapsed()});
     for (auto &[id, request] : peer.unsent) {
         peer.inFlight[id] = true;
-        connection->send(request);
+        connection->send(std::move(request));
     }
     peer.unsent.clear();
     scheduleLivenessCheck(node);
@@ -363,6 +382,18 @@
     complete(id, PeerCallOutcome::Replied, std::move(frame));
 }
 
+/// Completes a call whose answer could not be kept, as one with an unknown outcome.
+void PeerLink::onSkippedReply(const Endpoint &node, Frame frame)
+{
+    if (auto *reply = std::get_if<CallReply>(&frame)) {
+        CallReply lost;
+        lost.requestId = reply->requestId;
+        lost.refusal = RefusalKind::UpstreamFailed;
+        lost.runState = RunState::Unknown;
+        onReplyFrame(node, std::move(lost));
+    }
+}
+
 void PeerLink::failPeer(const Endpoint &node)
 {
     auto peer = m_peers.extract(node);
@@ -455,6 +486,17 @@
     connection->send(reply);
 }
 
+void PeerLink::refuseSkipped(const FramePointer &connection, const Frame &frame)
+{
+    if (const auto *request = std::get_if<CallRequest>(&frame)) {
+        CallReply reply;
+        reply.requestId = request->requestId;
+        reply.refusal = RefusalKind::Overloaded;
+        reply.runState = RunState::NotRun;
+        connection->send(std::move(reply));
+    }
+}
+
 void PeerLink::abandonCalls(const FramePointer &connection)
 {
     const auto calls = m_inbound.extract(connection);
@@ -502,14 +544,14 @@
 void PeerLink::reply(PeerCallId call, CallReply reply)
 {
     if (const FramePointer connection = popIncoming(call, reply.requestId)) {
-        connection->send(reply);
+        connection->send(std::move(reply));
     }
 }
 
 void PeerLink::replyTable(PeerCallId call, TableChanges changes)
 {
     if (const FramePointer connection = popIncoming(call, changes.requestId)) {
-        connection->send(changes);
+        connection->send(std::move(changes));
     }
 }
 
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/memorybudget.h"
 #include "model/messages.h"
 #include "net/eventloop.h"
 
@@ -52,12 +53,15 @@
     Duration probeInterval = std::chrono::milliseconds(500);
     /// A connection on which a reply is expected is reset when nothing is received for this time.
     Duration unresponsiveTimeout = std::chrono::milliseconds(1800);
-    std::size_t maxFrameBytes = std::size_t{66} << 20; ///< Room for the largest body and its headers.
+    /// Charged with frames that are incomplete or wait to be written. If null, the link has one of its own.
+    std::shared_ptr<MemoryBudget> memory = nullptr;
 };
 
 /// Event-driven link between the nodes of vanillatack-sidecar. One connection to each node carries any number of
 /// concurrent calls as length-prefixed Cap'n Proto messages. Load reports and token requests are sent as datagrams to
-/// the same port. Nodes are not authenticated; the link cannot talk to IThreadedPeerLink, which requires a handshake.
+/// the same port. A call whose body does not fit into the memory budget is refused as not run, and the answer to a call
+/// whose body does not fit is lost. Nodes are not authenticated; the link cannot talk to IThreadedPeerLink, which
+/// requires a handshake.
 class IPeerLink
 {
 public:
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -58,7 +58,7 @@
     {
         HttpResponse response;
         response.status = 200;
-        response.body = requests[index].target + requests[index].body;
+        response.body = requests[index].target + requests[index].body.bytes();
         server->respond(exchanges[index], response);
     }
 
@@ -216,7 +216,9 @@
 {
     EventLoop loop;
     EchoListener listener;
-    std::unique_ptr<IHttpServer> server = makeHttpServer(loop, listener);
+    std::shared_ptr<MemoryBudget> memory = makeDefaultMemoryBudget();
+    std::unique_ptr<IHttpServer> server = makeHttpServer(loop, listener, memory);
+    std::unique_ptr<IHttpServer> replacedServer; ///< Its callbacks are still in the loop.
 
     void setup() override
     {
@@ -224,6 +226,15 @@
         CHECK(server->listen({"127.0.0.1", 0}).has_value());
     }
 
+    void restartWithMemory(std::size_t bytes)
+    {
+        memory = std::make_shared<MemoryBudget>(bytes);
+        replacedServer = std::move(server);
+        server = makeHttpServer(loop, listener, memory);
+        listener.server = server.get();
+        CHECK(server->listen({"127.0.0.1", 0}).has_value());
+    }
+
     std::string exchange(const std::string &bytes)
     {
         RawConnection connection(loop, server->port());
@@ -290,7 +301,7 @@
     CHECK(runUntil(loop, [&] {
         return listener.abandoned.size() == 2;
     }));
-    LONGS_EQUAL(0, server->bufferedBytes());
+    LONGS_EQUAL(0, memory->used());
 }
 
 // Guards against a process that ends, and with it the requests of all other callers, when one with pipelined requests
@@ -405,7 +416,7 @@
     const std::string answer =
         exchange("POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     STRCMP_CONTAINS("200", answer.c_str());
-    STRCMP_EQUAL("abcde", listener.requests.at(0).body.c_str());
+    STRCMP_EQUAL("abcde", listener.requests.at(0).body.bytes().c_str());
 }
 
 TEST(HttpServer, oversizedHeadsAndBodiesAreRefused)
@@ -435,7 +446,7 @@
 
 TEST(HttpServer, refusesRequestsBeyondTheSharedBufferLimit)
 {
-    server->setLimits({.bodyBytes = 1 << 20, .bufferedBytes = 100'000});
+    restartWithMemory(160'000);
     listener.automatic = false;
     RawConnection first(loop, server->port());
     first.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 80000\r\n\r\n" + std::string(80000, 'a'));
@@ -454,13 +465,13 @@
 
 TEST(HttpServer, aBodyThatCanNeverFitIsTooLarge)
 {
-    server->setLimits({.bodyBytes = 100'000, .bufferedBytes = 100'000});
+    server->setLimits({.bodyBytes = 100'000});
     STRCMP_CONTAINS("413", exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n").c_str());
 }
 
 TEST(HttpServer, refusesABodyThatDoesNotFitBeforeReadingIt)
 {
-    server->setLimits({.bodyBytes = 1 << 20, .bufferedBytes = 100'000});
+    restartWithMemory(100'000);
     RawConnection connection(loop, server->port());
     connection.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n");
     const std::string answer = connection.readUntil("\r\n\r\n");
@@ -470,6 +481,48 @@
     LONGS_EQUAL(0, listener.exchanges.size());
 }
 
+// Guards against heads and pipelined requests that fill the memory before any body is read.
+TEST(HttpServer, refusesRequestsWhoseHeadsDoNotFit)
+{
+    restartWithMemory(100'000);
+    std::string head = "GET /fields HTTP/1.1\r\nHost: x\r\n";
+    while (head.size() < 8000) {
+        head += "a:b\r\n";
+    }
+    STRCMP_CONTAINS("503", exchange(head + "\r\n").c_str());
+    STRCMP_CONTAINS("503", exchange(head).c_str());
+    LONGS_EQUAL(0, listener.requests.size());
+    STRCMP_CONTAINS("200", exchange("GET /short HTTP/1.1\r\nHost: x\r\n\r\n").c_str());
+}
+
+// Guards against callers that hold memory without getting on, so that there is none for others.
+TEST(HttpServer, callersThatDoNotGetOnAreCutOffWhileMemoryIsScarce)
+{
+    restartWithMemory(200'000);
+    RawConnection stalled(loop, server->port());
+    stalled.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 150000\r\n\r\n" + std::string(100, 'a'));
+    CHECK(runUntil(loop, [&] {
+        return memory->isScarce();
+    }));
+    CHECK(runUntil(loop, [&] {
+        return !memory->isScarce();
+    }));
+    CHECK(stalled.waitForClose());
+    LONGS_EQUAL(0, server->connections());
+}
+
+TEST(HttpServer, callersThatDoNotGetOnKeepTheirConnectionWhileThereIsMemory)
+{
+    RawConnection slow(loop, server->port());
+    slow.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na");
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(runUntil(loop, [&] {
+        return std::chrono::steady_clock::now() - start > 1700ms;
+    }));
+    slow.send("bc");
+    STRCMP_CONTAINS("/1abc", slow.readUntil("/1abc").c_str());
+}
+
 TEST(HttpServer, detectsAClosedConnectionWhileItsRequestRuns)
 {
     listener.automatic = false;
@@ -484,7 +537,7 @@
     }));
     listener.answer(0); // Ignored, since the exchange is abandoned.
     LONGS_EQUAL(0, server->connections());
-    LONGS_EQUAL(0, server->bufferedBytes());
+    LONGS_EQUAL(0, memory->used());
 }
 
 TEST(HttpServer, aRequestOfAnAlreadyClosedConnectionIsDropped)
@@ -570,10 +623,10 @@
     send();
     RawConnection connection = accept();
     connection.send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 2\r\n\r\nok");
-    STRCMP_EQUAL("ok", waitForResult().response.body.c_str());
+    STRCMP_EQUAL("ok", waitForResult().response.body.bytes().c_str());
     send("a2");
     connection.send("HTTP/1.1 200 OK\r\nId: a2\r\nContent-Length: 2\r\n\r\nno");
-    STRCMP_EQUAL("no", waitForResult(2).response.body.c_str());
+    STRCMP_EQUAL("no", waitForResult(2).response.body.bytes().c_str());
     LONGS_EQUAL(1, client->connectionsOpened());
 }
 
@@ -583,7 +636,7 @@
     RawConnection connection = accept();
     connection.send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nlate"
                     "HTTP/1.1 200 OK\r\nId: a2\r\nContent-Length: 5\r\n\r\nright");
-    STRCMP_EQUAL("right", waitForResult().response.body.c_str());
+    STRCMP_EQUAL("right", waitForResult().response.body.bytes().c_str());
     CHECK(connection.waitForClose());
 }
 
@@ -617,7 +670,7 @@
     connection.send("HTTP/1.1 200 OK\r\nId: a1\r\n\r\nall of it");
     connection.close();
     CHECK(waitForResult().outcome == ClientOutcome::Complete);
-    STRCMP_EQUAL("all of it", results.back().response.body.c_str());
+    STRCMP_EQUAL("all of it", results.back().response.body.bytes().c_str());
 }
 
 TEST(HttpClient, aMalformedResponseIsBroken)
@@ -674,9 +727,11 @@
 }
 
 // Guards against memory that grows with the number of servers that send large bodies at the same time.
-TEST(HttpClient, bodiesThatTogetherExceedTheMemoryAreCutOff)
+TEST(HttpClient, aBodyForWhichThereIsNoRoomWaitsUnread)
 {
-    client = makeHttpClient(loop, {.maxTotalBodyBytes = 100'000});
+    // Room for one of the bodies, the connections and their buffers.
+    const auto memory = std::make_shared<MemoryBudget>(120'000);
+    client = makeHttpClient(loop, {.memory = memory});
     const std::string head = "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 60000\r\n\r\n";
     send();
     RawConnection first = accept();
@@ -685,15 +740,36 @@
     first.send(head + std::string(59'999, 'x'));
     loop.context().restart();
     loop.context().run_for(50ms);
-    second.send(head + std::string(59'999, 'y'));
-    CHECK(waitForResult(1).outcome == ClientOutcome::Broken);
+    second.send(head + std::string(60'000, 'y'));
+    loop.context().restart();
+    loop.context().run_for(50ms);
+    LONGS_EQUAL(0, results.size());
+    CHECK(memory->used() <= memory->limit());
     first.send("x");
-    CHECK(waitForResult(2).outcome == ClientOutcome::Complete);
+    CHECK(waitForResult(1).outcome == ClientOutcome::Complete);
     LONGS_EQUAL(60'000, results.back().response.body.size());
-    // The bytes of both are free again. The first connection is used once more.
+    CHECK(memory->used() <= memory->limit());
+    results.clear();
+    CHECK(waitForResult(1).outcome == ClientOutcome::Complete);
+    STRCMP_EQUAL(std::string(60'000, 'y').c_str(), results.back().response.body.bytes().c_str());
+    results.clear();
+    LONGS_EQUAL(0, memory->used());
+}
+
+TEST(HttpClient, bodiesThatCanNeverFitOrOutgrowTheMemoryAreCutOff)
+{
+    const auto memory = std::make_shared<MemoryBudget>(120'000);
+    client = makeHttpClient(loop, {.memory = memory});
     send();
-    first.send(head + std::string(60'000, 'z'));
-    CHECK(waitForResult(3).outcome == ClientOutcome::Complete);
+    RawConnection tooLong = accept();
+    tooLong.send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 120001\r\n\r\n");
+    CHECK(waitForResult(1).outcome == ClientOutcome::Broken);
+    send();
+    RawConnection chunked = accept();
+    chunked.send("HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    chunked.sendUntilClosed("3e8\r\n" + std::string(1000, 'x') + "\r\n");
+    CHECK(waitForResult(2).outcome == ClientOutcome::Broken);
+    LONGS_EQUAL(0, memory->used());
 }
 
 // Guards against a success without the instance's body because its connection ended within the head.
@@ -812,6 +888,7 @@
     std::unique_ptr<IPeerLink> linkA = makePeerLink(loop, listenerA, {});
     std::unique_ptr<IPeerLink> linkB = makePeerLink(loop, listenerB, {});
     Endpoint addressB;
+    std::unique_ptr<IPeerLink> replacedLinkB; ///< Its callbacks are still in the loop.
     std::vector<std::pair<PeerCallOutcome, CallReply>> results;
 
     void setup() override
@@ -820,6 +897,14 @@
         CHECK(linkB->listen(addressB).has_value());
     }
 
+    void restartB(const PeerLinkSettings &settings)
+    {
+        replacedLinkB = std::move(linkB);
+        linkB = makePeerLink(loop, listenerB, settings);
+        addressB.port = freePort(loop);
+        CHECK(linkB->listen(addressB).has_value());
+    }
+
     OutgoingCallId call(const std::string &body)
     {
         CallRequest request;
@@ -854,7 +939,7 @@
     for (const auto &[outcome, reply] : results) {
         CHECK(outcome == PeerCallOutcome::Replied);
     }
-    STRCMP_EQUAL("body0", results.back().second.body.c_str());
+    STRCMP_EQUAL("body0", results.back().second.body.bytes().c_str());
 }
 
 namespace {
@@ -952,6 +1037,65 @@
     LONGS_EQUAL(0, results.size()); // A fault of another connection does not end this call.
 }
 
+TEST(PeerLink, longBodiesArriveWholeBetweenShortCalls)
+{
+    const std::string body = std::string(3'000'000, 'q') + "end";
+    call("before");
+    call(body);
+    call("after");
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 3;
+    }));
+    CHECK(listenerB.calls[1].second.body == Body(body));
+    STRCMP_EQUAL("after", listenerB.calls[2].second.body.bytes().c_str());
+    CallReply reply;
+    reply.body = std::string(2'000'000, 'r');
+    linkB->reply(listenerB.calls[1].first, reply);
+    CHECK(runUntil(loop, [&] {
+        return results.size() == 1;
+    }));
+    CHECK(results[0].second.body == reply.body);
+}
+
+// Guards against a process that ends because other nodes send more than its memory holds.
+TEST(PeerLink, aCallWhoseBodyDoesNotFitIsRefusedAsNotRun)
+{
+    restartB({.memory = std::make_shared<MemoryBudget>(std::size_t{1} << 20)});
+    call(std::string(std::size_t{2} << 20, 'x'));
+    CHECK(runUntil(loop, [&] {
+        return results.size() == 1;
+    }));
+    CHECK(results[0].second.refusal == RefusalKind::Overloaded);
+    CHECK(results[0].second.runState == RunState::NotRun);
+    LONGS_EQUAL(0, listenerB.calls.size());
+    call("short");
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 1;
+    }));
+}
+
+// Guards against "not run" for a call that has run because there is no room for its answer (REFUSED).
+TEST(PeerLink, anAnswerWhoseBodyDoesNotFitIsLostAndItsCallMayHaveRun)
+{
+    const auto memory = std::make_shared<MemoryBudget>(std::size_t{1} << 20);
+    linkA = makePeerLink(loop, listenerA, {.memory = memory});
+    call("x");
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 1;
+    }));
+    CallReply reply;
+    reply.status = 200;
+    reply.runState = RunState::Ran;
+    reply.body = std::string(std::size_t{2} << 20, 'x');
+    linkB->reply(listenerB.calls[0].first, reply);
+    CHECK(runUntil(loop, [&] {
+        return results.size() == 1;
+    }));
+    CHECK(results[0].second.refusal == RefusalKind::UpstreamFailed);
+    CHECK(results[0].second.runState == RunState::Unknown);
+    LONGS_EQUAL(0, memory->used());
+}
+
 TEST(PeerLink, datagramsArrive)
 {
     NodeReport report;
--- a/src/node/tests/chain_tests.cpp
+++ b/src/node/tests/chain_tests.cpp
@@ -68,7 +68,8 @@
         if (chance(10)) {
             fleet.run(5ms);
         }
-        if (call.service == ServiceName("front") && call.method == "POST" && call.body.ends_with("k") && chance(20)) {
+        if (call.service == ServiceName("front") && call.method == "POST" && call.body.bytes().ends_with("k")
+            && chance(20)) {
             // The caller times out and retries the operation while it is still running.
             const RequestResult retry = send(random.below(fleet.nodes.size()), "POST", call.body);
             CHECK(retry.refusal.kind != RefusalKind::None);
@@ -81,7 +82,7 @@
             next = call.method == "GET" && chance(30) ? next : 3; // Reads call the next service several times.
         }
         const bool complete = !chance(3);
-        return {{.complete = complete, .sentAnything = true, .status = status}, "answer to " + call.body};
+        return {{.complete = complete, .sentAnything = true, .status = status}, "answer to " + call.body.bytes()};
     }
 
     RequestResult send(std::size_t node, const std::string &method, const std::string &operation)
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -37,8 +37,7 @@
     m_routeTable = std::move(table);
     const CallerLimits &limits = m_routeTable.config().limits;
     m_server->setLimits({.headBytes = limits.maxHeadBytes,
-                         .bodyBytes = std::min(limits.maxBodyBytes, m_dependencies.settings.bodyBudgetBytes),
-                         .bufferedBytes = m_dependencies.settings.bodyBudgetBytes,
+                         .bodyBytes = std::min(limits.maxBodyBytes, m_dependencies.memory->largeLimit()),
                          .headTimeout = limits.headTimeout,
                          .idleTimeout = limits.idleTimeout});
     std::map<WorkspaceName, RateLimit> rates;
--- a/src/proxy/internal/egressproxy.h
+++ b/src/proxy/internal/egressproxy.h
@@ -32,6 +32,7 @@
     IRetryBudget &rootRequestRetryBudget;
     IRetryBudget &innerCallRetryBudget; ///< For inner calls of the local instance.
     IngressProxy &ingress;
+    const std::shared_ptr<MemoryBudget> &memory;
 };
 
 /// Receives requests of callers and of the local instance, decides whether to admit them, and forwards each to an
--- a/src/proxy/internal/ingressproxy.cpp
+++ b/src/proxy/internal/ingressproxy.cpp
@@ -30,6 +30,10 @@
 /// used at a time.
 constexpr Duration RouteMemory = std::chrono::seconds(60);
 constexpr int StatusMisdirectedRequest = 421;
+/// Memory of a call without its head and body.
+constexpr std::size_t CallBytes = 4096;
+/// How often the head of a call is in memory: as received and as sent to the instance.
+constexpr std::size_t HeadCopies = 2;
 /// Slots that are used until the first answer: only answers tell whether the instance limits its request rate, and this
 /// node may have started beside an instance that does.
 constexpr int SlotsBeforeFirstAnswer = 8;
@@ -59,13 +63,15 @@
                            const IClock &clock,
                            const ProxySettings &settings,
                            DecisionLog &decisions,
-                           IMetrics &metrics)
+                           IMetrics &metrics,
+                           std::shared_ptr<MemoryBudget> memory)
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(settings)
     , m_decisions(decisions)
     , m_metrics(metrics)
-    , m_client(makeHttpClient(loop, {.maxTotalBodyBytes = settings.bodyBudgetBytes}))
+    , m_memory(std::move(memory))
+    , m_client(makeHttpClient(loop, {.memory = m_memory}))
     , m_instance(settings.service, settings.instanceEndpoint, settings.announceInterval * AnnouncementTimeoutIntervals)
 {
 }
@@ -83,8 +89,8 @@
     call.request = std::move(request);
     call.completion = std::move(completion);
     call.deadline = now + call.request.deadlineLeft;
-    call.bodyBytes = call.request.body.size();
-    m_bodyBytes += call.bodyBytes;
+    call.charge = MemoryCharge(m_memory, MemoryOwner::Node);
+    const bool fits = call.charge.tryResize(CallBytes + HeadCopies * memoryOf(call.request.headers));
     const CallRequest &stored = m_calls.emplace(ticket, std::move(call)).first->second.request;
     const bool isExpectedInstance =
         m_instance.current() && (stored.instance.empty() || stored.instance == m_instance.current()->id);
@@ -92,7 +98,7 @@
         refuse(ticket, m_refusingNewCalls ? RefusalKind::Draining : RefusalKind::NoInstance, Duration{0});
         return ticket;
     }
-    if (m_bodyBytes > m_settings.bodyBudgetBytes) {
+    if (!fits) {
         refuse(ticket, RefusalKind::Overloaded, Duration{0});
         return ticket;
     }
@@ -279,18 +285,9 @@
     m_slotQueue.setSlots(m_instanceAnswered ? slots : std::min(slots, SlotsBeforeFirstAnswer));
 }
 
-IngressProxy::CallNode IngressProxy::popCall(TicketId ticket)
-{
-    CallNode call = m_calls.extract(ticket);
-    if (!call.empty()) {
-        m_bodyBytes -= call.mapped().bodyBytes;
-    }
-    return call;
-}
-
 void IngressProxy::release(TicketId ticket, bool answerComplete)
 {
-    const auto call = popCall(ticket);
+    const auto call = m_calls.extract(ticket);
     const TimePoint now = m_clock.now();
     if (!call.empty() && call.mapped().started) {
         m_callGraph.end(call.mapped().request.route, now);
@@ -305,7 +302,7 @@
 
 void IngressProxy::refuse(TicketId ticket, RefusalKind kind, Duration expectedWait)
 {
-    const auto call = popCall(ticket);
+    const auto call = m_calls.extract(ticket);
     if (call.empty()) {
         return;
     }
@@ -342,7 +339,7 @@
     call.completion = nullptr;
     if (!call.started) {
         m_slotQueue.cancel(ticket);
-        popCall(ticket);
+        m_calls.extract(ticket);
         return RunState::NotRun;
     }
     if (call.request.idempotent) {
--- a/src/proxy/internal/ingressproxy.h
+++ b/src/proxy/internal/ingressproxy.h
@@ -23,7 +23,8 @@
                  const IClock &clock,
                  const ProxySettings &settings,
                  DecisionLog &decisions,
-                 IMetrics &metrics);
+                 IMetrics &metrics,
+                 std::shared_ptr<MemoryBudget> memory);
 
     /// Starts, queues or refuses a call. The completion is called once, unless the call is abandoned. If the call is
     /// refused at once, it is called before offer() returns.
@@ -68,7 +69,7 @@
         IngressCompletion completion; ///< Empty for an abandoned call.
         TimePoint deadline;
         ClientCallId upstreamCall;
-        std::size_t bodyBytes = 0; ///< Size of the request's body, which is gone once the call is sent.
+        MemoryCharge charge; ///< Of the request without its body, which has a charge of its own.
         bool started = false;
     };
 
@@ -80,7 +81,6 @@
     void recordLeaving(const HeaderList &headers);
     void recordRequestLimit(const HeaderList &headers, bool answered);
     void updateSlots();
-    CallNode popCall(TicketId ticket);
     void release(TicketId ticket, bool answerComplete);
     void refuse(TicketId ticket, RefusalKind kind, Duration expectedWait);
     void refuseQueued(RefusalKind kind);
@@ -92,6 +92,7 @@
     const ProxySettings &m_settings;
     DecisionLog &m_decisions;
     IMetrics &m_metrics;
+    std::shared_ptr<MemoryBudget> m_memory;
     std::unique_ptr<IHttpClient> m_client;
     LocalInstance m_instance;
     SlotQueue m_slotQueue;
@@ -101,7 +102,6 @@
     bool m_queueCheckScheduled = false;
     std::uint64_t m_lastTicket = 0;
     std::map<TicketId, Call> m_calls;
-    std::size_t m_bodyBytes = 0; ///< Sum of the bodyBytes of all calls.
     std::map<RouteName, TimePoint> m_routeLastSeenAt;
 };
 
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -25,12 +25,14 @@
                 IRandom &random,
                 ITableStore &store,
                 IMetrics &metrics,
-                const ProxySettings &settings)
+                const ProxySettings &settings,
+                std::shared_ptr<MemoryBudget> memory)
         : m_loop(loop)
         , m_clock(clock)
         , m_settings(settings)
+        , m_memory(memory ? std::move(memory) : std::make_shared<MemoryBudget>(settings.memoryBytes))
         , m_decisions(clock, settings.node.value, settings.logDescriptor)
-        , m_ingress(loop, clock, m_settings, m_decisions, metrics)
+        , m_ingress(loop, clock, m_settings, m_decisions, metrics, m_memory)
         , m_directory(settings.zone)
         , m_rateLimiter(settings.node, settings.rateTolerance, random, *this)
         , m_rootRequestRetryBudget(makeRetryBudget(clock, settings.freeRetries))
@@ -44,8 +46,8 @@
               },
               *this)
         , m_control(dependencies(random, metrics), m_egress, m_feed)
-        , m_server(makeHttpServer(loop, m_egress))
-        , m_link(makePeerLink(loop, *this, {}))
+        , m_server(makeHttpServer(loop, m_egress, m_memory))
+        , m_link(makePeerLink(loop, *this, {.memory = m_memory}))
     {
         m_rootRequestRetryBudget->setRatioPercent(settings.retryPercent);
         m_innerCallRetryBudget->setRatioPercent(settings.innerCallRetryPercent);
@@ -80,7 +82,8 @@
                 m_shedder,
                 *m_rootRequestRetryBudget,
                 *m_innerCallRetryBudget,
-                m_ingress};
+                m_ingress,
+                m_memory};
     }
 
     void onCall(PeerCallId call, CallRequest request) override;
@@ -104,6 +107,7 @@
     EventLoop &m_loop;
     const IClock &m_clock;
     ProxySettings m_settings;
+    std::shared_ptr<MemoryBudget> m_memory;
     DecisionLog m_decisions;
     IngressProxy m_ingress;
     NodeDirectory m_directory;
@@ -363,9 +367,10 @@
                                               IRandom &random,
                                               ITableStore &store,
                                               IMetrics &metrics,
-                                              const ProxySettings &settings)
+                                              const ProxySettings &settings,
+                                              std::shared_ptr<MemoryBudget> memory)
 {
-    return std::make_unique<TrafficNode>(loop, clock, random, store, metrics, settings);
+    return std::make_unique<TrafficNode>(loop, clock, random, store, metrics, settings, std::move(memory));
 }
 
 } // namespace vanillatack
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -44,9 +44,9 @@
     /// Root request retries per service in any 10 s that this node allows in addition to retryPercent; none if
     /// retryPercent is 0.
     int freeRetries = 0;
-    /// Bytes of bodies held at a time, each for the requests of callers, the calls of other nodes and the responses of
-    /// the instance. What exceeds them is refused as not run, or cut off if it is a response.
-    std::size_t bodyBudgetBytes = std::size_t{32} << 20;
+    /// Bytes held at a time for callers, the instance, other nodes and the store together; see MemoryBudget. What
+    /// exceeds them is refused as not run, waits unread or, if it is an answer, is lost.
+    std::size_t memoryBytes = std::size_t{128} << 20;
     int logDescriptor = 1; ///< File descriptor of the decision log; standard output by default.
 };
 
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -20,7 +20,7 @@
 /// Time-out of a hanging test. Far longer than any step takes, so that no result depends on speed.
 constexpr Duration HangLimit = 60s;
 
-constexpr std::size_t BodyBudgetBytes = 200'000;
+constexpr std::size_t BodyBytes = 200'000;
 
 std::string headerValue(const HeaderList &headers, const std::string &name)
 {
@@ -76,7 +76,7 @@
         settings.logDescriptor = logDescriptor;
         settings.keyGrace = 100s;
         settings.announceInterval = 100s;
-        settings.bodyBudgetBytes = bodyBudgetBytes;
+        settings.memoryBytes = memoryBytes;
         callerEndpointOut = settings.callerEndpoint;
         return makeTrafficNode(loop, clock, random, store, metrics.metrics(), settings);
     }
@@ -168,18 +168,25 @@
         return results.back();
     }
 
-    std::size_t bodyBudgetBytes = BodyBudgetBytes;
+    std::size_t memoryBytes = ProxySettings().memoryBytes;
     std::int64_t sequence = 0;
     int attempts = 0;
 };
 
+TEST_GROUP_BASE(TrafficNodeWithLittleMemory, TEST_GROUP_CppUTestGroupTrafficNode){void setup() override{
+    memoryBytes = 7 * BodyBytes / 5; // Room for bodies of BodyBytes together, for their heads and connections.
+TEST_GROUP_CppUTestGroupTrafficNode::setup();
+}
+}
+;
+
 TEST_GROUP_BASE(TrafficNodeWithLargeBodies, TEST_GROUP_CppUTestGroupTrafficNode)
 {
     static constexpr std::size_t AnswerBytes = std::size_t{24} << 20; ///< More than the kernel takes.
 
     void setup() override
     {
-        bodyBudgetBytes = 2 * AnswerBytes;
+        memoryBytes = 3 * AnswerBytes;
         TEST_GROUP_CppUTestGroupTrafficNode::setup();
     }
 };
@@ -196,7 +203,7 @@
     const ClientResult result =
         send("POST", "/write/7?x=1", {{"Key", "k1"}, {"Workspace", "forged"}, {"Caller-Service", "forged"}});
     LONGS_EQUAL(200, result.response.status);
-    STRCMP_EQUAL("whole", result.response.body.c_str());
+    STRCMP_EQUAL("whole", result.response.body.bytes().c_str());
     STRCMP_EQUAL("s1", headerValue(result.response.headers, "Signature").c_str());
     const HttpRequest &seen = farInstance.requests.at(0);
     STRCMP_EQUAL("/write/7?x=1", seen.target.c_str());
@@ -437,13 +444,13 @@
 }
 
 // Guards against a node that is killed because the bodies of many calls together exceed its memory.
-TEST(TrafficNode, refusesCallsWhoseBodiesTogetherExceedTheBudget)
+TEST(TrafficNodeWithLittleMemory, refusesCallsWhoseBodiesTogetherExceedTheBudget)
 {
     bringUp();
     results.clear();
     farInstance.unresponsive = true;
     for (int index = 0; index < 3; ++index) {
-        start("POST", "/write/7", {{"Key", "k1"}}, std::string(BodyBudgetBytes / 2 - 1000, 'b'));
+        start("POST", "/write/7", {{"Key", "k1"}}, std::string(BodyBytes / 2 - 1000, 'b'));
         CHECK(runUntil([&] {
             return farInstance.exchanges.size() + results.size() == static_cast<std::size_t>(index) + 1;
         }));
@@ -460,7 +467,7 @@
         LONGS_EQUAL(200, results.back().response.status);
     }
     farInstance.unresponsive = false;
-    start("POST", "/write/7", {{"Key", "k1"}}, std::string(BodyBudgetBytes - 1000, 'b'));
+    start("POST", "/write/7", {{"Key", "k1"}}, std::string(BodyBytes - 1000, 'b'));
     CHECK(runUntil([&] {
         return results.size() == 4;
     }));
--- a/src/proxy/tests/soak_tests.cpp
+++ b/src/proxy/tests/soak_tests.cpp
@@ -58,8 +58,7 @@
             HttpResponse response;
             response.status = 200;
             response.headers = {{"Signature", "s"}, {"Attempt", id}};
-            response.body = "answer " + id;
-            response.body.resize(response.body.size() + (large ? LargeAnswerBytes : 0), ' ');
+            response.body = "answer " + id + std::string(large ? LargeAnswerBytes : 0, ' ');
             server->respond(exchange, std::move(response));
         });
     }
--- a/src/proxy/trafficnode.h
+++ b/src/proxy/trafficnode.h
@@ -54,12 +54,14 @@
     virtual void shutDown(std::function<void()> done) = 0;
 };
 
-/// The references must outlive the node.
+/// The references must outlive the node. The memory budget is shared with other parts of the process; without one the
+/// node has one of ProxySettings::memoryBytes.
 std::unique_ptr<ITrafficNode> makeTrafficNode(EventLoop &loop,
                                               const IClock &clock,
                                               IRandom &random,
                                               ITableStore &store,
                                               IMetrics &metrics,
-                                              const ProxySettings &settings);
+                                              const ProxySettings &settings,
+                                              std::shared_ptr<MemoryBudget> memory = nullptr);
 
 } // namespace vanillatack
--- a/src/standin/internal/upstreaminstance.cpp
+++ b/src/standin/internal/upstreaminstance.cpp
@@ -229,7 +229,7 @@
 UpstreamAnswer
 UpstreamInstance::callThroughNode(const StandinCall &call, const HttpRequest &request, TimePoint deadline, int socket)
 {
-    HttpRequest out{call.method, call.target, {}, call.method == "GET" ? std::string() : request.body};
+    HttpRequest out{call.method, call.target, {}, call.method == "GET" ? Body() : request.body};
     out.headers.emplace_back("Vanillatack-Request", request.header("Vanillatack-Request"));
     if (!call.idempotent) {
         out.headers.emplace_back("Operation-Id", request.header("Operation-Id"));
@@ -241,7 +241,7 @@
 UpstreamInstance::callDirectly(const StandinCall &call, const HttpRequest &request, TimePoint deadline, int socket)
 {
     const std::vector<Endpoint> &targets = m_direct.targets.at(firstSegment(call.target));
-    HttpRequest out{call.method, call.target, {}, call.method == "GET" ? std::string() : request.body};
+    HttpRequest out{call.method, call.target, {}, call.method == "GET" ? Body() : request.body};
     if (!call.idempotent) {
         out.headers.emplace_back("Operation-Id", request.header("Operation-Id"));
     }
--- a/src/transport/internal/threadedhttpserver.cpp
+++ b/src/transport/internal/threadedhttpserver.cpp
@@ -60,7 +60,7 @@
 void fillResponse(httplib::Response &out, HttpResponse in)
 {
     out.status = in.status;
-    out.body = std::move(in.body);
+    out.body = in.body.release();
     for (const auto &[name, value] : in.headers) {
         if (!isHopByHopHeader(name)) {
             out.headers.emplace(name, value);
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -372,7 +372,8 @@
         ::close(next);
         ::close(connection);
     });
-    STRCMP_EQUAL("first", client->send(server.endpoint, getRequest(), farDeadline(), NoSocket).response.body.c_str());
+    STRCMP_EQUAL("first",
+                 client->send(server.endpoint, getRequest(), farDeadline(), NoSocket).response.body.bytes().c_str());
     ++connections;
     while (!sentTwice) {
         std::this_thread::yield();
@@ -384,7 +385,7 @@
         (void)makeUpstreamClient({})->send(server.endpoint, getRequest(), farDeadline(), NoSocket);
     }
     upstream.join();
-    STRCMP_EQUAL("next", answer.response.body.c_str());
+    STRCMP_EQUAL("next", answer.response.body.bytes().c_str());
 }
 
 namespace {
@@ -465,7 +466,7 @@
     for (int round = 0; round < 3; ++round) {
         const CallAttempt attempt = client->call({"127.0.0.1", FirstPort}, request("/a"), farDeadline(), NoSocket);
         CHECK(attempt.outcome == LinkCallOutcome::Replied);
-        STRCMP_EQUAL("body", attempt.reply.body.c_str());
+        STRCMP_EQUAL("body", attempt.reply.body.bytes().c_str());
     }
     DocumentPush push;
     client->send({"127.0.0.1", FirstPort}, push);
