Close excess connections before they use up the file descriptors

What callers saw: nobody could connect any more after a few thousand connections had been opened that sent nothing, to the address of callers or to the node port: the process had no descriptor left, also for the instance.

Change: above its limit the server also closes the connections that have waited longest for a complete request; the link closes the longest idle connection of another node, first one that never sent a frame, and none with a call in progress.

--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -15,8 +15,8 @@
 struct HttpServerLimits {
     std::size_t headBytes = 16384; ///< Request line and headers; larger ones are answered with 431.
     std::size_t bodyBytes = std::size_t{64} << 20; ///< Larger bodies are answered with 413.
-    /// Above this number the longest idle connections are closed. Leaves a quarter of the 4,100 file descriptors of a
-    /// small VM free.
+    /// Above this number the longest idle connections are closed, and then those that have waited longest for a
+    /// complete request.
     std::size_t connections = 3000;
     /// The time limit for receiving a request, head and body, is headTimeout + idleTimeout from its first byte.
     Duration headTimeout = std::chrono::seconds(3);
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -172,7 +172,7 @@
     using ConnectionPointer = std::shared_ptr<Connection>;
 
     void accept();
-    void closeIdleConnections();
+    void closeExcessConnections();
     void sweep();
     void read(const ConnectionPointer &connection);
     void onBytes(const ConnectionPointer &connection, std::size_t bytes);
@@ -197,6 +197,7 @@
     void close(const ConnectionPointer &connection);
     static Phase phase(const Connection &connection);
     static bool acceptsRequests(const Connection &connection);
+    static bool isReusable(const Connection &connection);
     void abort(const ConnectionPointer &connection);
 
     EventLoop &m_loop;
@@ -237,35 +238,41 @@
         connection->charge.resize(memoryOfConnection(*connection));
         m_connections.emplace(connection->id, connection);
         read(connection);
-        closeIdleConnections();
+        closeExcessConnections();
         accept();
     });
 }
 
-/// Closes the longest idle connections when there are more than the limit. Otherwise they could use up the process's
-/// file descriptors, and no further connection could be accepted.
-void HttpServer::closeIdleConnections()
+/// Closes connections when there are more than the limit: the longest idle ones, and then those that have waited
+/// longest for a complete request. Otherwise they could use up the process's file descriptors, and no further
+/// connection could be accepted.
+void HttpServer::closeExcessConnections()
 {
     if (m_connections.size() <= m_limits.connections) {
         return;
     }
-    std::vector<ConnectionPointer> idle;
+    const TimePoint now = m_clock.now();
+    std::vector<ConnectionPointer> closable;
+    std::size_t dispensable = 0;
     for (const auto &[id, connection] : m_connections) {
-        // Newly accepted connections are not closed: their first request is about to arrive.
-        if ((phase(*connection) == Phase::Idle && connection->answeredBefore) || connection->lingering) {
-            idle.push_back(connection);
+        const Phase current = phase(*connection);
+        if (current == Phase::Idle || current == Phase::Reading || current == Phase::Lingering) {
+            dispensable += isReusable(*connection) || now - connection->phaseStart > StallTimeout ? 1 : 0;
+            closable.push_back(connection);
         }
     }
+    // More are closed than necessary, but not those whose first request may be about to arrive.
     const std::size_t excess = m_connections.size() - m_limits.connections * IdleCloseTargetPercent / 100;
-    const std::size_t count = std::min(std::max<std::size_t>(excess, 1), idle.size());
-    std::partial_sort(idle.begin(),
-                      idle.begin() + static_cast<std::ptrdiff_t>(count),
-                      idle.end(),
+    const std::size_t required = m_connections.size() - m_limits.connections;
+    const std::size_t count = std::min(std::max(std::min(excess, dispensable), required), closable.size());
+    std::partial_sort(closable.begin(),
+                      closable.begin() + static_cast<std::ptrdiff_t>(count),
+                      closable.end(),
                       [](const ConnectionPointer &a, const ConnectionPointer &b) {
-                          return a->phaseStart < b->phaseStart;
+                          return std::pair(!isReusable(*a), a->phaseStart) < std::pair(!isReusable(*b), b->phaseStart);
                       });
     for (std::size_t index = 0; index < count; ++index) {
-        close(idle[index]);
+        close(closable[index]);
     }
 }
 
@@ -421,6 +428,13 @@
     }
 }
 
+/// Whether the connection is idle after a response, or closing.
+bool HttpServer::isReusable(const Connection &connection)
+{
+    const Phase current = phase(connection);
+    return current == Phase::Lingering || (current == Phase::Idle && connection.answeredBefore);
+}
+
 bool HttpServer::acceptsRequests(const Connection &connection)
 {
     return !connection.closeRequested && !connection.lingering && connection.exchanges.size() < MaxPipelinedRequests;
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -74,6 +74,7 @@
         /// Smallest difference seen between this node's clock and the timestamps of received frames: the clock offset
         /// plus the shortest transit time. The excess of a frame over it is the time by which the frame was delayed.
         std::optional<Duration> minClockDifference;
+        bool receivedFrame = false;
     };
 
     struct IncomingCall {
@@ -88,6 +89,7 @@
     void onConnected(const Endpoint &node, const FramePointer &connection);
     void onReplyFrame(const Endpoint &node, Frame frame);
     void onRequestFrame(const FramePointer &connection, Frame frame);
+    void closeExcessConnections();
     void onSkippedReply(const Endpoint &node, Frame frame);
     void refuseSkipped(const FramePointer &connection, const Frame &frame);
     void abandonCalls(const FramePointer &connection);
@@ -178,10 +180,35 @@
                                        abandonCalls(caller);
                                    }
                                }});
+        closeExcessConnections();
         accept();
     });
 }
 
+/// Closes a connection when there are more than the limit: of those without a call in progress, one that has never sent
+/// a frame, or the longest idle one.
+void PeerLink::closeExcessConnections()
+{
+    if (m_inbound.size() <= m_settings.maxConnections) {
+        return;
+    }
+    FramePointer idle;
+    std::pair<bool, TimePoint> least;
+    for (const auto &[connection, inbound] : m_inbound) {
+        const std::pair use(inbound.receivedFrame, connection->lastReceived());
+        if (inbound.calls.empty() && (!idle || use < least)) {
+            idle = connection;
+            least = use;
+        }
+    }
+    if (idle) {
+        LinkLog.warning(
+            "Other nodes have more than " + std::to_string(m_settings.maxConnections)
+            + " connections; closing the longest idle one. Check which processes connect to the node port.");
+        idle->close();
+    }
+}
+
 void PeerLink::receiveDatagram()
 {
     m_datagrams.async_receive_from(
@@ -443,6 +470,7 @@
 
 void PeerLink::onRequestFrame(const FramePointer &connection, Frame frame)
 {
+    m_inbound[connection].receivedFrame = true;
     if (auto *request = std::get_if<CallRequest>(&frame)) {
         request->deadlineLeft -= measureExcessDelay(m_inbound[connection], request->sentAt);
         if (request->deadlineLeft <= Duration{0}) {
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -523,6 +523,24 @@
     STRCMP_CONTAINS("/1abc", slow.readUntil("/1abc").c_str());
 }
 
+// Guards against connections that use up the file descriptors before their first request.
+TEST(HttpServer, closesTheOldestConnectionsWithoutARequestAboveTheLimit)
+{
+    server->setLimits({.connections = 3});
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int index = 0; index < 6; ++index) {
+        connections.push_back(std::make_unique<RawConnection>(loop, server->port()));
+        loop.context().restart();
+        loop.context().run_for(5ms);
+    }
+    for (std::size_t index = 0; index < 3; ++index) {
+        CHECK(connections[index]->waitForClose());
+    }
+    LONGS_EQUAL(3, server->connections());
+    connections.back()->send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
+    STRCMP_CONTAINS("200", connections.back()->readUntil("/last").c_str());
+}
+
 TEST(HttpServer, detectsAClosedConnectionWhileItsRequestRuns)
 {
     listener.automatic = false;
@@ -1096,6 +1114,28 @@
     LONGS_EQUAL(0, memory->used());
 }
 
+// Guards against connections to the node port that use up the file descriptors of the process.
+TEST(PeerLink, closesIdleConnectionsAboveTheLimitAndKeepsThoseInUse)
+{
+    restartB({.maxConnections = 3});
+    call("x");
+    CHECK(runUntil(loop, [&] {
+        return listenerB.calls.size() == 1;
+    }));
+    std::vector<std::unique_ptr<RawConnection>> idle;
+    for (int index = 0; index < 6; ++index) {
+        idle.push_back(std::make_unique<RawConnection>(loop, addressB.port));
+    }
+    for (std::size_t index = 0; index < 4; ++index) {
+        CHECK(idle[index]->waitForClose());
+    }
+    linkB->reply(listenerB.calls[0].first, {});
+    CHECK(runUntil(loop, [&] {
+        return results.size() == 1;
+    }));
+    CHECK(results[0].first == PeerCallOutcome::Replied);
+}
+
 TEST(PeerLink, datagramsArrive)
 {
     NodeReport report;
--- a/src/proxy/internal/egressproxy.cpp
+++ b/src/proxy/internal/egressproxy.cpp
@@ -38,6 +38,7 @@
     const CallerLimits &limits = m_routeTable.config().limits;
     m_server->setLimits({.headBytes = limits.maxHeadBytes,
                          .bodyBytes = std::min(limits.maxBodyBytes, m_dependencies.memory->largeLimit()),
+                         .connections = m_dependencies.settings.maxCallerConnections,
                          .headTimeout = limits.headTimeout,
                          .idleTimeout = limits.idleTimeout});
     std::map<WorkspaceName, RateLimit> rates;
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -47,7 +47,7 @@
               *this)
         , m_control(dependencies(random, metrics), m_egress, m_feed)
         , m_server(makeHttpServer(loop, m_egress, m_memory))
-        , m_link(makePeerLink(loop, *this, {.memory = m_memory}))
+        , m_link(makePeerLink(loop, *this, {.maxConnections = settings.maxPeerConnections, .memory = m_memory}))
     {
         m_rootRequestRetryBudget->setRatioPercent(settings.retryPercent);
         m_innerCallRetryBudget->setRatioPercent(settings.innerCallRetryPercent);
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -47,6 +47,10 @@
     /// Bytes held at a time for callers, the instance, other nodes and the store together; see MemoryBudget. What
     /// exceeds them is refused as not run, waits unread or, if it is an answer, is lost.
     std::size_t memoryBytes = std::size_t{128} << 20;
+    /// Connections of callers above which idle ones are closed.
+    std::size_t maxCallerConnections = 3000;
+    /// Connections of other nodes above which idle ones are closed.
+    std::size_t maxPeerConnections = 400;
     int logDescriptor = 1; ///< File descriptor of the decision log; standard output by default.
 };
 
