Keep the connection to a node that takes a long body slowly

What callers saw: all calls between two nodes broke when one of them sent a body for longer than 1.8 s, as over a narrow link.

Cause: the answers to probes wait behind the body, and only received bytes counted as a sign of life.

Change: bytes that had to wait and are taken count too.

Measured: PeerLink.aNodeThatTakesALongBodySlowlyIsNotUnresponsive failed with the old check (the call ended as broken) and passes.

--- a/src/net/internal/frameconnection.cpp
+++ b/src/net/internal/frameconnection.cpp
@@ -145,6 +145,7 @@
             self->close();
             return;
         }
+        self->m_lastTaken = self->m_clock.now();
         self->write();
     });
 }
--- a/src/net/internal/frameconnection.h
+++ b/src/net/internal/frameconnection.h
@@ -51,6 +51,12 @@
         return m_lastReceived;
     }
 
+    /// When the other node last showed that it is alive: it sent bytes, or took bytes that had to wait for it.
+    [[nodiscard]] TimePoint lastProgress() const
+    {
+        return std::max(m_lastReceived, m_lastTaken);
+    }
+
     [[nodiscard]] boost::asio::ip::tcp::socket &socket()
     {
         return m_socket;
@@ -95,6 +101,7 @@
     bool m_awaitingWritable = false;
     SystemClock m_clock;
     TimePoint m_lastReceived;
+    TimePoint m_lastTaken;
 };
 
 } // namespace vanillatack
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -379,7 +379,8 @@
             return;
         }
         Peer &peer = entry->second;
-        const Duration silence = m_clock.now() - peer.connection->lastReceived();
+        // A long body keeps probes and their answers waiting, but the other node takes its bytes.
+        const Duration silence = m_clock.now() - peer.connection->lastProgress();
         const bool expecting = !peer.inFlight.empty() || peer.lastCancelAt >= peer.connection->lastReceived();
         if (expecting && silence > m_settings.unresponsiveTimeout
             && m_clock.now() - peer.probedAt < m_settings.unresponsiveTimeout) {
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -1114,6 +1114,35 @@
     LONGS_EQUAL(0, memory->used());
 }
 
+// Guards against a reset of the connection, and with it of all calls, while another node takes a long body slowly: the
+// answers to probes wait behind the body.
+TEST(PeerLink, aNodeThatTakesALongBodySlowlyIsNotUnresponsive)
+{
+    Tcp::acceptor acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
+    linkA = makePeerLink(loop, listenerA, {.probeInterval = 50ms, .unresponsiveTimeout = 200ms});
+    addressB.port = acceptor.local_endpoint().port();
+    constexpr std::size_t BodyBytes = std::size_t{4} << 20;
+    call(std::string(BodyBytes, 'x'));
+    Tcp::socket peerSocket(loop.context());
+    bool accepted = false;
+    acceptor.async_accept(peerSocket, [&accepted](const boost::system::error_code & /*error*/) {
+        accepted = true;
+    });
+    CHECK(runUntil(loop, [&] {
+        return accepted;
+    }));
+    std::size_t received = 0;
+    std::vector<char> chunk(std::size_t{64} << 10);
+    peerSocket.non_blocking(true);
+    CHECK(runUntil(loop, [&] {
+        std::this_thread::sleep_for(10ms);
+        boost::system::error_code error;
+        received += peerSocket.read_some(boost::asio::buffer(chunk), error);
+        return received > BodyBytes || !results.empty();
+    }));
+    LONGS_EQUAL(0, results.size());
+}
+
 // Guards against connections to the node port that use up the file descriptors of the process.
 TEST(PeerLink, closesIdleConnectionsAboveTheLimitAndKeepsThoseInUse)
 {
