Charge the messages of vanillatackd to one memory limit

Up to 2,000 connections at each port could each hold a body of max_body_bytes, and as many frames and responses of up to 24 and 16 MiB, with no common limit. Anybody who connected to the node port could have the process allocate and fill 24 MiB by four bytes, before the handshake.

Change: bodies of callers, frames of nodes and responses of the instance are charged, with the copies made on their way, to one MemoryBudget (max_message_memory_mb, 256 MiB). A request that does not fit gets 503 with Retry-After, as not run; a frame that does not fit closes its connection; a response that does not fit counts as incomplete.

Measured: aLargeFrameBeforeTheHandshakeIsNotRead fails with the old limit for handshakes (the connection stays until the handshake's timeout). The test of bodies that together exceed the memory uses the new setting and did not run on the old code. Not limited here: heads, and the kernel's buffers.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -54,16 +54,18 @@
     INode *m_node = nullptr;
 };
 
-ThreadedPeerLinkSettings linkSettings(const DaemonSettings &settings)
+ThreadedPeerLinkSettings linkSettings(const DaemonSettings &settings, const std::shared_ptr<MemoryBudget> &memory)
 {
     ThreadedPeerLinkSettings link;
     link.listen = {settings.address, settings.nodePort};
     link.secret = settings.fleetSecret;
     link.maxConnections = static_cast<std::size_t>(settings.maxConnections);
+    link.memory = memory;
     return link;
 }
 
-ThreadedHttpServerSettings serverSettings(const DaemonSettings &settings, const Endpoint &listen)
+ThreadedHttpServerSettings
+serverSettings(const DaemonSettings &settings, const Endpoint &listen, const std::shared_ptr<MemoryBudget> &memory)
 {
     ThreadedHttpServerSettings server;
     server.listen = listen;
@@ -71,6 +73,7 @@
     server.maxHeadBytes = static_cast<std::size_t>(settings.maxHeadBytes);
     server.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
     server.idleTimeout = settings.idleTimeout;
+    server.memory = memory;
     return server;
 }
 
@@ -105,9 +108,10 @@
 public:
     Daemon(const DaemonSettings &settings, const StateChart &upstreamChart)
         : m_settings(settings)
+        , m_memory(std::make_shared<MemoryBudget>(static_cast<std::size_t>(settings.maxMessageMemoryMb) << 20))
         , m_decisions(m_clock, m_lock)
         , m_platform(makePlatform(settings, m_clock, m_decisions))
-        , m_link(makeThreadedPeerLink(linkSettings(settings),
+        , m_link(makeThreadedPeerLink(linkSettings(settings, m_memory),
                                       m_handler,
                                       m_random,
                                       [this](bool sent, std::size_t bytes) {
@@ -122,15 +126,17 @@
                            m_lock,
                            upstreamChart},
                           selfDescription(settings)))
-        , m_upstreamClient(makeUpstreamClient({}))
+        , m_upstreamClient(makeUpstreamClient({.memory = m_memory}))
         , m_ingress(m_clock, m_lock, *m_node, *m_upstreamClient)
         , m_egress(m_clock, m_lock, *m_node, *m_link)
         , m_callerHandler(m_egress)
         , m_localHandler(m_egress, m_lock, *m_node)
-        , m_callerServer(makeThreadedHttpServer(serverSettings(settings, {settings.address, settings.callerPort}),
-                                                m_callerHandler))
-        , m_localServer(makeThreadedHttpServer(serverSettings(settings, {settings.localAddress, settings.localPort}),
-                                               m_localHandler))
+        , m_callerServer(
+              makeThreadedHttpServer(serverSettings(settings, {settings.address, settings.callerPort}, m_memory),
+                                     m_callerHandler))
+        , m_localServer(
+              makeThreadedHttpServer(serverSettings(settings, {settings.localAddress, settings.localPort}, m_memory),
+                                     m_localHandler))
         , m_adminService(m_clock, m_random, m_lock, *m_node, m_settings)
         , m_adminServer(m_adminService, settings.operatorCredential)
     {
@@ -229,6 +235,7 @@
     }
 
     const DaemonSettings m_settings;
+    std::shared_ptr<MemoryBudget> m_memory;
     SystemClock m_clock;
     SystemRandom m_random;
     NodeLock m_lock;
--- a/src/daemon/internal/settings.cpp
+++ b/src/daemon/internal/settings.cpp
@@ -117,6 +117,7 @@
     reader.readInteger("max_connections", settings.maxConnections, 8, 20000);
     reader.readInteger("max_head_bytes", settings.maxHeadBytes, 1024, 1024 * 1024);
     reader.readInteger("max_body_bytes", settings.maxBodyBytes, 1024, 16 * 1024 * 1024);
+    reader.readInteger("max_message_memory_mb", settings.maxMessageMemoryMb, 128, 65536);
     reader.readDuration("idle_timeout", settings.idleTimeout, std::chrono::seconds(1), std::chrono::hours(1));
     reader.readDuration("drain_period", settings.drainPeriod, std::chrono::milliseconds(100), std::chrono::minutes(5));
     reader.readDuration(
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -38,6 +38,7 @@
     int maxConnections = 2000;
     int maxHeadBytes = 32 * 1024;
     int maxBodyBytes = 1024 * 1024;
+    int maxMessageMemoryMb = 256; ///< For all messages together, in MiB; see MemoryBudget.
     Duration idleTimeout = std::chrono::seconds(60);
     Duration drainPeriod = std::chrono::seconds(3); ///< Minimum time from the start of a shutdown to closing the ports.
     Duration shutdownTimeout = std::chrono::seconds(30); ///< Maximum time that a shutdown waits for running requests.
--- a/src/transport/internal/threadedhttpserver.cpp
+++ b/src/transport/internal/threadedhttpserver.cpp
@@ -1,8 +1,10 @@
 #include "transport/threadedhttpserver.h"
 
+#include "base/log.h"
 #include "transport/internal/bufferedstream.h"
 #include "transport/internal/connectionthreads.h"
 #include "transport/internal/idleconnections.h"
+#include "transport/internal/messagememory.h"
 
 #include <httplib.h>
 #include <sys/socket.h>
@@ -16,6 +18,7 @@
 
 namespace {
 
+constexpr Log ServerLog("http");
 constexpr int ListenBacklog = 1024;
 constexpr std::size_t KeepAliveMaxRequests = 1'000'000;
 
@@ -31,6 +34,7 @@
     bool headRead = false;
     bool bodyUnread = false; ///< The request has a body, which cpp-httplib does not read for this method.
     bool mustClose = false;
+    bool noMemory = false; ///< The body does not fit into the memory budget.
 };
 
 thread_local CurrentRequest currentRequest;
@@ -40,7 +44,7 @@
     return request.has_header("Transfer-Encoding") || request.get_header_value<std::uint64_t>("Content-Length") > 0;
 }
 
-HttpRequest toHttpRequest(const httplib::Request &in, std::string body)
+HttpRequest toHttpRequest(const httplib::Request &in, Body body)
 {
     HttpRequest out;
     out.method = in.method;
@@ -122,6 +126,7 @@
     ThreadedHttpServer(const ThreadedHttpServerSettings &settings, IHttpHandler &handler)
         : m_settings(settings)
         , m_handler(handler)
+        , m_memory(settings.memory ? settings.memory : makeDefaultMemoryBudget())
         , m_threads(settings.maxConnections)
     {
         addHandlers();
@@ -193,7 +198,7 @@
         };
         const auto withBody =
             [this](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader) {
-                std::string body;
+                MessageMemory body(m_memory, MemoryOwner::Caller);
                 // cpp-httplib keeps each line of a chunked body's framing until it is complete.
                 const bool chunked = request.has_header("Transfer-Encoding");
                 const auto limitFraming = [this, chunked] {
@@ -204,12 +209,16 @@
                 limitFraming();
                 const bool complete = reader([&body, &limitFraming](const char *data, std::size_t size) {
                     limitFraming();
-                    body.append(data, size);
-                    return true;
+                    currentRequest.noMemory = !body.append({data, size});
+                    return !currentRequest.noMemory;
                 });
                 currentRequest.stream->endHead();
-                if (complete) {
-                    respond(toHttpRequest(request, std::move(body)), response);
+                if (currentRequest.noMemory) {
+                    ServerLog.warning("Messages in memory leave no room for a request; it is refused with 503.",
+                                      {{"in_memory", std::to_string(m_memory->used())},
+                                       {"limit", std::to_string(m_memory->limit())}});
+                } else if (complete) {
+                    respond(toHttpRequest(request, Body(body.releaseBytes(), body.releaseCharge())), response);
                 }
             };
         const char *anyPath = ".*"; // Matched against "/" only; see prepareRequest().
@@ -247,7 +256,8 @@
     {
         const bool tooLarge = currentRequest.stream->headTooLarge();
         // Further bytes on the connection may belong to this request, so no other can be read from it.
-        HttpResponse answer = m_handler.makeErrorResponse(tooLarge ? 431 : response.status);
+        HttpResponse answer = currentRequest.noMemory ? HttpResponse{503, {{"Retry-After", "1"}}, {}, true}
+                                                      : m_handler.makeErrorResponse(tooLarge ? 431 : response.status);
         answer.closeConnection = true;
         fillResponse(response, std::move(answer));
     }
@@ -273,7 +283,8 @@
 
     bool serveRequest(BufferedStream &stream)
     {
-        currentRequest = {&stream, {}, false, false, false};
+        currentRequest = {};
+        currentRequest.stream = &stream;
         stream.setDeadline(std::chrono::steady_clock::now() + m_settings.messageTimeout);
         stream.limitHead(m_settings.maxHeadBytes);
         bool closed = false;
@@ -310,6 +321,7 @@
 
     const ThreadedHttpServerSettings m_settings;
     IHttpHandler &m_handler;
+    std::shared_ptr<MemoryBudget> m_memory;
     ConnectionThreads m_threads;
     IdleConnections m_idle;
     std::thread m_acceptThread;
--- a/src/transport/internal/threadedpeerlink.cpp
+++ b/src/transport/internal/threadedpeerlink.cpp
@@ -53,6 +53,7 @@
         , m_handler(handler)
         , m_random(random)
         , m_countBytes(std::move(countBytes))
+        , m_memory(settings.memory ? settings.memory : makeDefaultMemoryBudget())
         , m_serverThreads(settings.maxConnections)
         , m_controlThreads(MaxControlThreads)
     {
@@ -163,7 +164,7 @@
             return nullptr;
         }
         auto connection =
-            std::make_unique<BlockingFrameConnection>(std::move(socket.value()), m_settings.maxFrameBytes);
+            std::make_unique<BlockingFrameConnection>(std::move(socket.value()), m_settings.maxFrameBytes, m_memory);
         const TimePoint handshakeEnd = std::chrono::steady_clock::now() + m_settings.handshakeTimeout;
         if (!handshakeAsCaller(*connection, m_settings.secret, m_random, std::min(deadline, handshakeEnd))) {
             PeerLinkLog.warning("The handshake with a node failed; the connection is closed. "
@@ -217,7 +218,7 @@
             }
             setTcpNoDelay(accepted);
             m_serverThreads.run([this, accepted] {
-                serve(BlockingFrameConnection(Socket(accepted), m_settings.maxFrameBytes));
+                serve(BlockingFrameConnection(Socket(accepted), m_settings.maxFrameBytes, m_memory));
             });
             if (m_serverThreads.isSaturated()) {
                 m_idleServerConnections.closeOldest();
@@ -297,6 +298,7 @@
     INodeHandler &m_handler;
     IRandom &m_random;
     const ControlByteCounter m_countBytes;
+    std::shared_ptr<MemoryBudget> m_memory;
     Socket m_listener;
     Socket m_datagrams;
     std::atomic<bool> m_running = false;
--- a/src/transport/internal/upstreamclient.cpp
+++ b/src/transport/internal/upstreamclient.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "transport/internal/bufferedstream.h"
+#include "transport/internal/messagememory.h"
 
 #include <httplib.h>
 #include <sys/socket.h>
@@ -34,19 +35,25 @@
         set_url_encode(false);
     }
 
-    UpstreamAnswer exchange(const HttpRequest &request, std::size_t maxBodyBytes, TimePoint deadline, int cancelSocket)
+    UpstreamAnswer exchange(const HttpRequest &request,
+                            std::size_t maxBodyBytes,
+                            const std::shared_ptr<MemoryBudget> &memory,
+                            TimePoint deadline,
+                            int cancelSocket)
     {
         m_deadline = deadline;
         m_cancelSocket = cancelSocket;
         m_answer = UpstreamAnswer{};
         httplib::Request out = toLibraryRequest(request);
-        std::string body;
+        MessageMemory body(memory, MemoryOwner::Instance);
         bool tooLarge = false;
         out.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
             m_stream->limitHead(MaxFramingBytes);
             tooLarge = body.size() + size > maxBodyBytes;
-            if (!tooLarge) {
-                body.append(data, size);
+            if (!tooLarge && !body.append({data, size})) {
+                UpstreamLog.warning("Messages in memory leave no room for a response; it is cut off.",
+                                    {{"upstream", m_upstream.text()}, {"in_memory", std::to_string(memory->used())}});
+                tooLarge = true;
             }
             return !tooLarge;
         };
@@ -54,7 +61,7 @@
         auto error = httplib::Error::Success;
         m_answer.complete = send(out, in, error) && !tooLarge && in.status > 0;
         if (m_answer.complete) {
-            m_answer.response = toHttpResponse(in, std::move(body));
+            m_answer.response = toHttpResponse(in, Body(body.releaseBytes(), body.releaseCharge()));
         }
         return m_answer;
     }
@@ -89,7 +96,7 @@
         return out;
     }
 
-    static HttpResponse toHttpResponse(const httplib::Response &in, std::string body)
+    static HttpResponse toHttpResponse(const httplib::Response &in, Body body)
     {
         HttpResponse out{in.status, {}, std::move(body), false};
         for (const auto &[name, value] : in.headers) {
@@ -144,6 +151,7 @@
 public:
     explicit UpstreamClient(const UpstreamClientSettings &settings)
         : m_settings(settings)
+        , m_memory(settings.memory ? settings.memory : makeDefaultMemoryBudget())
     {
     }
 
@@ -151,7 +159,8 @@
     send(const Endpoint &upstream, const HttpRequest &request, TimePoint deadline, int cancelSocket) override
     {
         std::unique_ptr<UpstreamConnection> connection = acquire(upstream);
-        UpstreamAnswer answer = connection->exchange(request, m_settings.maxBodyBytes, deadline, cancelSocket);
+        UpstreamAnswer answer =
+            connection->exchange(request, m_settings.maxBodyBytes, m_memory, deadline, cancelSocket);
         if (connection->isReusable()) {
             release(upstream, std::move(connection));
         }
@@ -194,6 +203,7 @@
     }
 
     const UpstreamClientSettings m_settings;
+    std::shared_ptr<MemoryBudget> m_memory;
     std::mutex m_mutex;
     std::map<Endpoint, IdleConnectionQueue> m_idle;
 };
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -182,6 +182,33 @@
     CHECK(std::string(buffer).find("HTTP/1.1 200") == std::string::npos);
 }
 
+// Guards against a process that ends because many callers send bodies of legal size at the same time.
+TEST(ThreadedHttpServer, bodiesThatTogetherExceedTheMemoryAreRefusedAsNotRun)
+{
+    ThreadedHttpServerSettings settings;
+    settings.listen = {"127.0.0.1", 0};
+    settings.memory = std::make_shared<MemoryBudget>(std::size_t{1} << 20);
+    const auto limited = makeThreadedHttpServer(settings, handler);
+    CHECK(limited->start().has_value());
+    const Result<Socket> stalled = connectTcp({"127.0.0.1", limited->port()}, std::chrono::seconds(5));
+    const std::string part = "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 130000\r\n\r\n" + std::string(120000, 'x');
+    ::send(stalled.value().descriptor(), part.data(), part.size(), MSG_NOSIGNAL);
+    const TimePoint end = farDeadline();
+    while (settings.memory->used() < 5 * 120000 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    const Endpoint address = {"127.0.0.1", limited->port()};
+    const UpstreamAnswer refused = client->send(address, {"POST", "/2", {}, std::string(90000, 'x')}, end, NoSocket);
+    CHECK(refused.complete);
+    LONGS_EQUAL(503, refused.response.status);
+    CHECK(settings.memory->used() <= settings.memory->limit());
+    const UpstreamAnswer small = client->send(address, {"POST", "/3", {}, "small"}, end, NoSocket);
+    LONGS_EQUAL(200, small.response.status);
+    ::shutdown(stalled.value().descriptor(), SHUT_RDWR);
+    limited->stop();
+    LONGS_EQUAL(0, settings.memory->used());
+}
+
 // Guards against memory that grows as long as a caller sends bytes that end no line of a chunked body.
 TEST(ThreadedHttpServer, framingWithoutEndIsRefused)
 {
@@ -417,13 +444,15 @@
     std::atomic<int> controls = 0;
 };
 
+constexpr std::chrono::seconds HandshakeTimeout{10};
+
 std::unique_ptr<IThreadedPeerLink>
 makeLink(std::uint16_t port, const std::string &secret, INodeHandler &handler, IRandom &random)
 {
     ThreadedPeerLinkSettings settings;
     settings.listen = {"127.0.0.1", port};
     settings.secret = secret;
-    settings.handshakeTimeout = std::chrono::seconds(10);
+    settings.handshakeTimeout = HandshakeTimeout;
     return makeThreadedPeerLink(settings, handler, random, [](bool, std::size_t) {});
 }
 
@@ -458,6 +487,18 @@
     }
 };
 
+// Guards against memory for frames of anybody who connects to the node port.
+TEST(ThreadedPeerLink, aLargeFrameBeforeTheHandshakeIsNotRead)
+{
+    const Result<Socket> socket = connectTcp({"127.0.0.1", FirstPort}, std::chrono::seconds(5));
+    const std::string length("\x00\x00\x10\x00", 4); // 1 MiB, less than the largest frame of a node.
+    ::send(socket.value().descriptor(), length.data(), length.size(), MSG_NOSIGNAL);
+    const auto start = std::chrono::steady_clock::now();
+    char byte = 0;
+    LONGS_EQUAL(0, ::recv(socket.value().descriptor(), &byte, 1, 0));
+    CHECK(std::chrono::steady_clock::now() - start < HandshakeTimeout);
+}
+
 // Guards against calls and control messages, by datagram or connection, that do not arrive.
 TEST(ThreadedPeerLink, carriesCallsAndControlMessages)
 {
--- a/src/transport/threadedhttpserver.h
+++ b/src/transport/threadedhttpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/memorybudget.h"
 #include "http/http.h"
 
 #include <memory>
@@ -15,6 +16,8 @@
     Duration idleTimeout = std::chrono::seconds(60); ///< Maximum time between two requests.
     /// Time limit for receiving a request, and for sending a response.
     Duration messageTimeout = std::chrono::seconds(10);
+    /// Charged with bodies. A request whose body does not fit gets 503, as not run. If null, the server has its own.
+    std::shared_ptr<MemoryBudget> memory = nullptr;
 };
 
 /// HTTP/1.1 server on top of cpp-httplib, with one thread per connection. Used by vanillatackd; vanillatack-sidecar
--- a/src/transport/threadedpeerlink.h
+++ b/src/transport/threadedpeerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/memorybudget.h"
 #include "base/random.h"
 #include "model/messages.h"
 #include "transport/socket.h"
@@ -44,6 +45,8 @@
     Duration handshakeTimeout = std::chrono::seconds(2);
     /// Idle time after which the caller closes a connection; the called side closes it later.
     Duration idleLifetime = std::chrono::seconds(30);
+    /// Charged with received frames. One that does not fit closes its connection. If null, the link has its own.
+    std::shared_ptr<MemoryBudget> memory = nullptr;
 };
 
 /// Called with the size of each control message sent (sent = true) and of each control datagram received (sent =
--- a/src/transport/upstreamclient.h
+++ b/src/transport/upstreamclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/memorybudget.h"
 #include "http/http.h"
 #include "transport/socket.h"
 
@@ -35,6 +36,8 @@
     Duration idleLifetime = std::chrono::seconds(4);
     std::size_t maxIdle = 512; ///< Idle connections kept per upstream.
     std::size_t maxBodyBytes = std::size_t{16} << 20; ///< Larger responses count as incomplete.
+    /// Charged with responses. One that does not fit counts as incomplete. If null, the client has its own.
+    std::shared_ptr<MemoryBudget> memory = nullptr;
 };
 
 std::unique_ptr<IUpstreamClient> makeUpstreamClient(const UpstreamClientSettings &settings);
