Cut off stalled callers only when there was no room, and answer only requests

Two faults of the memory limit, found by reading before the landing. Callers that paused for a second were cut off while more than half of the limit was used, which one largest request with an answer of the same size does in calm; now it takes a shortage since the last check.

--- a/src/base/memorybudget.cpp
+++ b/src/base/memorybudget.cpp
@@ -25,6 +25,7 @@
     std::size_t used = m_used;
     do {
         if (bytes > limit || used > limit - bytes) {
+            ++m_shortages;
             return false;
         }
     } while (!m_used.compare_exchange_weak(used, used + bytes));
--- a/src/base/memorybudget.h
+++ b/src/base/memorybudget.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 namespace vanillatack {
@@ -57,10 +58,10 @@
         return m_usedFor[static_cast<std::size_t>(owner)];
     }
 
-    /// Whether more than half of the limit is used. Peers that do not get on are then cut off early.
-    [[nodiscard]] bool isScarce() const
+    /// How often there was no room for a charge. Each is a reason to cut off peers that hold memory without getting on.
+    [[nodiscard]] std::uint64_t shortages() const
     {
-        return m_used > m_limit / 2;
+        return m_shortages;
     }
 
 private:
@@ -72,6 +73,7 @@
 
     const std::size_t m_limit;
     std::atomic<std::size_t> m_used{0};
+    std::atomic<std::uint64_t> m_shortages{0};
     std::array<std::atomic<std::size_t>, MemoryOwnerNames.entries().size()> m_usedFor{};
 };
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -40,8 +40,8 @@
 /// Event-driven HTTP/1.1 server of vanillatack-sidecar; vanillatackd uses IThreadedHttpServer. Requests are read
 /// completely; pipelined requests are processed concurrently and answered in order. All bytes that are held for callers
 /// are charged to the memory budget: connections, heads, bodies, responses and the kernel's buffers. A request for
-/// which there is no room is answered with 503, before its body is read if its length is known. While memory is scarce,
-/// callers that do not get on with sending a request or reading a response are cut off.
+/// which there is no room is answered with 503, before its body is read if its length is known. When there is
+/// no room, callers that do not get on with sending a request or reading a response are cut off.
 class IHttpServer
 {
 public:
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -46,7 +46,7 @@
 constexpr std::size_t HeadCopies = 3;
 /// Capacity above which the input buffer of a connection is released when it is not filled.
 constexpr std::size_t MaxIdleInputBytes = 4096;
-/// Time without progress after which a caller is cut off while memory is scarce.
+/// Time without progress after which a caller is cut off when there is no room for others.
 constexpr Duration StallTimeout = std::chrono::seconds(1);
 /// Interval at which connections are checked for timeouts.
 constexpr Duration SweepInterval = std::chrono::milliseconds(500);
@@ -207,6 +207,7 @@
     SystemClock m_clock; // The same clock as Asio's timers.
     HttpServerLimits m_limits;
     bool m_draining = false;
+    std::uint64_t m_seenShortages = 0;
     std::uint64_t m_lastId = 0;
     absl::flat_hash_map<std::uint64_t, ConnectionPointer> m_connections;
     absl::flat_hash_map<ExchangeId, std::uint64_t> m_exchanges;
@@ -276,13 +277,14 @@
     }
 }
 
-/// Cuts off the callers that have not got on for longest with sending a request or reading responses, until memory is
-/// no longer scarce.
+/// If there was no room for something since the last call, cuts off the callers that have not got on for longest with
+/// sending a request or reading responses, until half of the memory budget is free.
 void HttpServer::closeStalledConnections()
 {
-    if (!m_memory->isScarce()) {
+    if (std::exchange(m_seenShortages, m_memory->shortages()) == m_memory->shortages()) {
         return;
     }
+    const std::size_t target = m_memory->limit() / 2;
     const TimePoint now = m_clock.now();
     std::vector<ConnectionPointer> stalled;
     for (const auto &[id, connection] : m_connections) {
@@ -305,7 +307,7 @@
         return a->lastProgress < b->lastProgress;
     });
     std::size_t count = 0;
-    while (count < stalled.size() && m_memory->isScarce()) {
+    while (count < stalled.size() && m_memory->used() > target) {
         abort(stalled[count]);
         ++count;
     }
@@ -390,7 +392,8 @@
         abort(connection);
         return;
     }
-    if (!fits && !connection->closeRequested) {
+    const bool requestStarted = connection->parser || connection->input.size() > 0;
+    if (!fits && requestStarted && !connection->closeRequested) {
         refuseForMemory(connection);
     }
     connection->charge.resize(memoryOfConnection(*connection));
