Give up frames of other nodes whose rest does not arrive

Cause: a frame that stopped short of its end kept its memory until the connection ended, and had no time-out. Connections to the node port could hold the part of the limit that is kept for small messages for ever.

Change: the connection is closed when the rest of a frame does not arrive for 10 s.

--- a/src/net/internal/frameconnection.h
+++ b/src/net/internal/frameconnection.h
@@ -57,6 +57,12 @@
         return std::max(m_lastReceived, m_lastTaken);
     }
 
+    /// Whether a part of a frame has been received and not its rest.
+    [[nodiscard]] bool hasIncompleteFrame() const
+    {
+        return !m_input.empty() || m_incomplete;
+    }
+
     [[nodiscard]] boost::asio::ip::tcp::socket &socket()
     {
         return m_socket;
--- a/src/net/internal/peerlink.cpp
+++ b/src/net/internal/peerlink.cpp
@@ -90,6 +90,7 @@
     void onReplyFrame(const Endpoint &node, Frame frame);
     void onRequestFrame(const FramePointer &connection, Frame frame);
     void closeExcessConnections();
+    void closeStalledConnections();
     void onSkippedReply(const Endpoint &node, Frame frame);
     void refuseSkipped(const FramePointer &connection, const Frame &frame);
     void abandonCalls(const FramePointer &connection);
@@ -141,6 +142,7 @@
     }
     accept();
     receiveDatagram();
+    closeStalledConnections();
     return success();
 }
 
@@ -209,6 +211,25 @@
     }
 }
 
+/// Closes the connections of other nodes on which the rest of a frame does not arrive. Repeats.
+void PeerLink::closeStalledConnections()
+{
+    std::vector<FramePointer> stalled;
+    for (const auto &[connection, inbound] : m_inbound) {
+        if (connection->hasIncompleteFrame() && m_clock.now() - connection->lastReceived() > m_settings.frameTimeout) {
+            stalled.push_back(connection);
+        }
+    }
+    for (const FramePointer &connection : stalled) {
+        LinkLog.warning("The rest of a frame of another node has not arrived; closing the connection. Check which "
+                        "processes connect to the node port.");
+        connection->close();
+    }
+    m_loop.callAfter(m_settings.frameTimeout / 4, [this] {
+        closeStalledConnections();
+    });
+}
+
 void PeerLink::receiveDatagram()
 {
     m_datagrams.async_receive_from(
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -53,6 +53,8 @@
     Duration probeInterval = std::chrono::milliseconds(500);
     /// A connection on which a reply is expected is reset when nothing is received for this time.
     Duration unresponsiveTimeout = std::chrono::milliseconds(1800);
+    /// A connection of another node is closed when the rest of a frame does not arrive for this time.
+    Duration frameTimeout = std::chrono::seconds(10);
     /// Connections of other nodes above which the one that has been idle for longest is closed.
     std::size_t maxConnections = 400;
     /// Charged with frames that are incomplete or wait to be written. If null, the link has one of its own.
