--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -318,8 +318,8 @@
         ++count;
     }
     if (count > 0) {
-        ServerLog.warning("Memory is scarce; connections of callers that do not get on are closed. If they are callers "
-                          "that should be served, raise the memory of the VM.",
+        ServerLog.warning("There was no room for messages; connections of callers that do not get on are closed. Check "
+                          "which callers stop in the middle of a request or do not read.",
                           {{"closed", std::to_string(count)},
                            {"bytes", std::to_string(m_memory->used())},
                            {"limit", std::to_string(m_memory->limit())}});
