--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -20,8 +20,6 @@
 /// Time-out of a hanging test. Far longer than any step takes, so that no result depends on speed.
 constexpr Duration HangLimit = 60s;
 
-constexpr std::size_t BodyBytes = 200'000;
-
 std::string headerValue(const HeaderList &headers, const std::string &name)
 {
     HttpRequest holder;
@@ -173,12 +171,16 @@
     int attempts = 0;
 };
 
-TEST_GROUP_BASE(TrafficNodeWithLittleMemory, TEST_GROUP_CppUTestGroupTrafficNode){void setup() override{
-    memoryBytes = 7 * BodyBytes / 5; // Room for bodies of BodyBytes together, for their heads and connections.
-TEST_GROUP_CppUTestGroupTrafficNode::setup();
-}
-}
-;
+TEST_GROUP_BASE(TrafficNodeWithLittleMemory, TEST_GROUP_CppUTestGroupTrafficNode)
+{
+    static constexpr std::size_t BodyBytes = 200'000; ///< Of all bodies that fit at a time.
+
+    void setup() override
+    {
+        memoryBytes = 7 * BodyBytes / 5; // Room for the heads and connections too.
+        TEST_GROUP_CppUTestGroupTrafficNode::setup();
+    }
+};
 
 TEST_GROUP_BASE(TrafficNodeWithLargeBodies, TEST_GROUP_CppUTestGroupTrafficNode)
 {
