Refuse responses whose status is none of HTTP

What callers saw: an answer with the status 000 or 600 to 999 of an instance in trouble, or none at all until their time was over.

Cause: nothing checked the range. In the sidecar a response below 200 counts as an interim one, so that after a 000 with a length the node waited for another response; the path of responses that end with their connection did not look at the status. vanillatackd stopped 000 only and took 101 to 199 for final answers.

Change: isValidStatus() and isFinalStatus(); both clients treat other responses as unreadable once the head is there, log it and close the connection. The request may have run: idempotent ones are tried elsewhere, others get 502.

--- a/src/http/http.h
+++ b/src/http/http.h
@@ -25,6 +25,18 @@
     bool closeConnection = false; ///< Sent: close the connection afterwards. Received: the server closes it.
 };
 
+/// Whether a response may have the status; RFC 9110 defines 100 to 599. Others cannot be interpreted or passed on.
+constexpr bool isValidStatus(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
+/// Whether a response with the status is the last one to its request.
+constexpr bool isFinalStatus(int status)
+{
+    return isValidStatus(status) && status >= 200;
+}
+
 /// Memory in bytes of a header without its name and value.
 inline constexpr std::size_t HeaderOverheadBytes = sizeof(HeaderList::value_type) + 32;
 
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -120,6 +120,7 @@
     void onBytes(const ConnectionPointer &connection);
     void onReadable(const ConnectionPointer &connection);
     void breakForMemory(const ConnectionPointer &connection);
+    void breakUnreadable(const ConnectionPointer &connection, const std::string &error);
     void onReadError(const ConnectionPointer &connection, const error_code &error);
     void finishMessage(const ConnectionPointer &connection);
     ClientCompletion popCompletion(const ConnectionPointer &connection);
@@ -378,6 +379,14 @@
     complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
 }
 
+void HttpClient::breakUnreadable(const ConnectionPointer &connection, const std::string &error)
+{
+    ClientLog.warning("A response cannot be read; its connection is closed. Check the server.",
+                      {{"server", connection->server.text()}, {"error", error}});
+    close(connection);
+    complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
+}
+
 void HttpClient::onBytes(const ConnectionPointer &connection)
 {
     while (connection->call.value != 0 && connection->input.size() > 0) {
@@ -392,17 +401,18 @@
             breakForMemory(connection);
             return;
         }
+        const auto &parser = *connection->parser;
+        if (parser.is_header_done() && !isValidStatus(static_cast<int>(parser.get().result_int()))) {
+            breakUnreadable(connection, "its status is not one of HTTP");
+            return;
+        }
         const bool framingTooLong = error == http::error::need_more && connection->input.size() > MaxHeadBytes;
         if (error == http::error::need_more && !framingTooLong) {
             return;
         }
         if (error) {
             // The parser keeps the bytes of a line, or of the fields after the last chunk, until it is complete.
-            ClientLog.warning("A response cannot be read; its connection is closed. Check the server.",
-                              {{"server", connection->server.text()},
-                               {"error", framingTooLong ? "a line of its framing is too long" : error.message()}});
-            close(connection);
-            complete(connection, {.outcome = ClientOutcome::Broken, .sentAnything = true, .response = {}});
+            breakUnreadable(connection, framingTooLong ? "a line of its framing is too long" : error.message());
             return;
         }
         if (!connection->parser->is_done()) {
@@ -411,7 +421,7 @@
             }
             continue;
         }
-        const bool interim = connection->parser->get().result_int() < 200;
+        const bool interim = !isFinalStatus(static_cast<int>(parser.get().result_int()));
         if (interim || isStale(*connection)) {
             connection->receivedStaleResponse |= !interim;
             prepareParser(*connection);
--- a/src/net/tests/net_tests.cpp
+++ b/src/net/tests/net_tests.cpp
@@ -701,6 +701,52 @@
     CHECK(waitForResult().outcome == ClientOutcome::Broken);
 }
 
+// Guards against a caller that gets an answer whose status is none of HTTP (MIXED), or waits for the next response
+// after it until its time is over.
+TEST(HttpClient, aResponseWithAStatusOutsideOfHttpIsBrokenAtOnce)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        for (const std::string length : {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+            const std::size_t before = results.size();
+            send("a1", HangLimit / 2);
+            RawConnection connection = accept();
+            connection.send("HTTP/1.1 " + status + " Odd\r\nId: a1\r\n" + length + "\r\nbody");
+            // The connection stays open and the chunked body has no end.
+            CHECK(waitForResult(before + 1).outcome == ClientOutcome::Broken);
+            CHECK(results.back().sentAnything);
+            CHECK(connection.waitForClose());
+        }
+    }
+}
+
+// The same for a response that arrives with its end of connection.
+TEST(HttpClient, aClosedResponseWithAStatusOutsideOfHttpIsBroken)
+{
+    for (const std::string status : {"000", "600"}) {
+        const std::size_t before = results.size();
+        send();
+        {
+            RawConnection connection = accept();
+            connection.send("HTTP/1.1 " + status + " Odd\r\nId: a1\r\n\r\n");
+            connection.close();
+        }
+        CHECK(waitForResult(before + 1).outcome == ClientOutcome::Broken);
+    }
+}
+
+TEST(HttpClient, everyFinalStatusOfHttpIsReceivedAfterInterimOnes)
+{
+    for (const int status : {200, 299, 404, 500, 599}) {
+        const std::size_t before = results.size();
+        send();
+        RawConnection connection = accept();
+        connection.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Wait\r\n\r\nHTTP/1.1 " + std::to_string(status)
+                        + " Final\r\nId: a1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+        CHECK(waitForResult(before + 1).outcome == ClientOutcome::Complete);
+        LONGS_EQUAL(status, results.back().response.status);
+    }
+}
+
 // Guards against memory that grows as long as a faulty server sends bytes that are no response.
 TEST(HttpClient, aHeadWithoutEndIsCutOff)
 {
--- a/src/transport/internal/upstreamclient.cpp
+++ b/src/transport/internal/upstreamclient.cpp
@@ -59,7 +59,13 @@
         };
         httplib::Response in;
         auto error = httplib::Error::Success;
-        m_answer.complete = send(out, in, error) && !tooLarge && in.status > 0;
+        const bool received = send(out, in, error) && !tooLarge;
+        m_answer.complete = received && isFinalStatus(in.status);
+        if (received && !m_answer.complete) {
+            UpstreamLog.warning("A response has a status that is no final one of HTTP; it is not passed on. Check the "
+                                "upstream.",
+                                {{"upstream", m_upstream.text()}, {"status", std::to_string(in.status)}});
+        }
         if (m_answer.complete) {
             m_answer.response = toHttpResponse(in, Body(body.releaseBytes(), body.releaseCharge()));
         }
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -353,6 +353,42 @@
     }
 }
 
+// Guards against a caller that gets an answer whose status is none of HTTP, or that is no final one.
+TEST(UpstreamClient, aResponseWithAStatusOutsideOfHttpIsIncomplete)
+{
+    for (const std::string status : {"000", "001", "099", "101", "199", "600", "999"}) {
+        for (const std::string length : {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+            const std::string body = length.starts_with("Transfer") ? "4\r\nbody\r\n0\r\n\r\n" : "body";
+            std::thread upstream([&] {
+                const int connection = server.accept();
+                RawServer::write(connection, "HTTP/1.1 " + status + " Odd\r\n" + length + "\r\n" + body);
+                ::close(connection);
+            });
+            const UpstreamAnswer answer = client->send(server.endpoint, getRequest(), farDeadline(), NoSocket);
+            upstream.join();
+            CHECK(!answer.complete);
+            CHECK(answer.sentAnything);
+        }
+    }
+}
+
+TEST(UpstreamClient, everyFinalStatusOfHttpIsReceived)
+{
+    for (const int status : {200, 299, 404, 500, 599}) {
+        std::thread upstream([&] {
+            const int connection = server.accept();
+            RawServer::write(connection,
+                             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + std::to_string(status)
+                                 + " Final\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+            ::close(connection);
+        });
+        const UpstreamAnswer answer = client->send(server.endpoint, getRequest(), farDeadline(), NoSocket);
+        upstream.join();
+        CHECK(answer.complete);
+        LONGS_EQUAL(status, answer.response.status);
+    }
+}
+
 // Guards against memory that grows as long as a faulty upstream sends bytes that end no head and no line of a chunked
 // body.
 TEST(UpstreamClient, framingWithoutEndIsCutOff)
