Write log lines on a thread of their own

Cause: lines on standard error were written by the thread of the event loop with blocking writes. The decision log asked poll() before it wrote, which is not enough when another process writes to the same pipe.

Change: LogOutput takes the lines into a bounded buffer and writes them on its own thread; lines that do not fit are dropped, counted, logged and shown as the metric dropped_log_lines. Both logs use it, in both programs. The two tests of the decision log that read at once now wait for the lines; the one of the stalled reader also checks the count.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,21 +1,22 @@
 #include "base/log.h"
 
+#include "base/logoutput.h"
 #include "base/text.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 
 #include <atomic>
-#include <iostream>
+
+#include <unistd.h>
 
 namespace vanillatack {
 
@@ -23,16 +24,49 @@
 
 namespace sinks = boost::log::sinks;
 
+std::string currentTime()
+{
+    return absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
+}
+
 // Off until startLogging(), so that tests do not print log lines.
 std::atomic<LogLevel> lowestLevel{LogLevel::Off};
 
+/// Time for which the end of the process waits for the reader of standard error.
+constexpr Duration FlushTimeout = std::chrono::milliseconds(50);
+
+LogOutput &standardError()
+{
+    static auto *const output = new LogOutput(STDERR_FILENO); // Used by other threads until the process has ended.
+    return *output;
+}
+
+class StandardErrorBackend final : public sinks::basic_formatted_sink_backend<char, sinks::concurrent_feeding>
+{
+public:
+    void consume(const boost::log::record_view & /*record*/, const std::string &line)
+    {
+        if (!standardError().write(line + "\n")) {
+            return;
+        }
+        const std::uint64_t dropped = standardError().droppedLines();
+        if (const std::uint64_t reported = m_reportedLines.exchange(dropped); reported < dropped) {
+            (void)standardError().write(absl::StrCat(currentTime(),
+                                                     " warning log: Lines were dropped because the reader of standard "
+                                                     "error does not keep up. lines=",
+                                                     dropped - reported,
+                                                     "\n"));
+        }
+    }
+
+private:
+    std::atomic<std::uint64_t> m_reportedLines{0};
+};
+
 void addStandardErrorSink()
 {
-    auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    using Sink = sinks::synchronous_sink<sinks::text_ostream_backend>;
-    boost::log::core::get()->add_sink(boost::make_shared<Sink>(backend));
+    using Sink = sinks::synchronous_sink<StandardErrorBackend>;
+    boost::log::core::get()->add_sink(boost::make_shared<Sink>(boost::make_shared<StandardErrorBackend>()));
 }
 
 std::string fieldText(const LogField &field)
@@ -50,9 +84,8 @@
     if (level < lowestLevel.load(std::memory_order_relaxed)) {
         return;
     }
-    const std::string time = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
-    std::string line =
-        absl::StrCat(time, " ", asAbsl(LogLevelNames.name(level)), " ", asAbsl(component), ": ", asAbsl(message));
+    std::string line = absl::StrCat(
+        currentTime(), " ", asAbsl(LogLevelNames.name(level)), " ", asAbsl(component), ": ", asAbsl(message));
     for (const LogField &field : fields) {
         line += fieldText(field);
     }
@@ -69,6 +102,18 @@
     lowestLevel = level;
 }
 
+void flushLogging()
+{
+    if (lowestLevel.load(std::memory_order_relaxed) != LogLevel::Off) {
+        (void)standardError().flush(FlushTimeout);
+    }
+}
+
+std::uint64_t droppedLogLines()
+{
+    return lowestLevel.load(std::memory_order_relaxed) == LogLevel::Off ? 0 : standardError().droppedLines();
+}
+
 void Log::debug(std::string_view message, std::initializer_list<LogField> fields) const
 {
     write(LogLevel::Debug, m_component, message, fields);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -2,6 +2,7 @@
 
 #include "base/nametable.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -29,9 +30,15 @@
 using LogField = std::pair<std::string_view, std::string>;
 
 /// Sets the lowest level that is written. Log lines go to standard error, one per message:
-/// "<UTC time> <level> <component>: <message> name=value ...".
+/// "<UTC time> <level> <component>: <message> name=value ...". Never blocks; see LogOutput.
 void startLogging(LogLevel level);
 
+/// Waits until all lines are written, at most for a moment. Call before the process exits.
+void flushLogging();
+
+/// Lines that were dropped because the reader of standard error does not keep up.
+std::uint64_t droppedLogLines();
+
 /// Log of one component of the program; the component's name, e.g. "quota", precedes every message.
 class Log
 {
--- a/src/daemon/programs/daemonmain.cpp
+++ b/src/daemon/programs/daemonmain.cpp
@@ -96,11 +96,12 @@
     const std::unique_ptr<IDaemon> daemon = makeDaemon(*settings, charts.charts.at("upstream"));
     const Result<void> started = daemon->start();
     if (!started) {
-        std::cerr << started.error().text() << "\n";
+        std::cerr << started.error().text() << "\n"; // Also with the log off.
         return ExitFailed;
     }
     int signal = 0;
     sigwait(&signals, &signal);
     daemon->shutDown();
+    flushLogging();
     return 0;
 }
--- a/src/metrics/metricssetup.h
+++ b/src/metrics/metricssetup.h
@@ -15,7 +15,7 @@
     std::string_view help;
 };
 
-inline constexpr std::array<GaugeDescription, 20> GaugeDescriptions = {{
+inline constexpr std::array<GaugeDescription, 21> GaugeDescriptions = {{
     {"ready", "1 when the node is ready: documents loaded, upstream announced, not draining."},
     {"draining", "1 while the node drains."},
     {"zone_cut_off", "1 while neither another availability zone nor the platform has been heard."},
@@ -34,6 +34,7 @@
     {"quota_owned_rate", "Sum of the owned shares of all workspaces, requests per second."},
     {"quota_lent_rate", "Sum of the rates lent to other nodes, requests per second."},
     {"quota_borrowed_rate", "Sum of the rates borrowed from other nodes, requests per second."},
+    {"dropped_log_lines", "Log lines dropped since the start because their reader does not keep up."},
     {"resident_memory_bytes", "Resident memory of the process."},
     {"control_cpu_ratio", "Part of one core used by control work."},
 }};
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -573,6 +573,7 @@
     metrics.setGauge("concurrency_limit", admission.limit);
     metrics.setGauge("running_requests", admission.running);
     metrics.setGauge("queued_requests", admission.queued);
+    metrics.setGauge("dropped_log_lines", static_cast<double>(droppedLogLines()));
     const StateVersions versions = m_documents->versions();
     metrics.setGauge("config_version", static_cast<double>(versions.configVersion));
     metrics.setGauge("keys_version", static_cast<double>(versions.keysVersion));
--- a/src/proxy/decisionlog.h
+++ b/src/proxy/decisionlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/logoutput.h"
 
 #include <initializer_list>
 #include <map>
@@ -14,7 +15,7 @@
 
 /// Writes one structured line per decision about a request or about the state of the node or fleet, to standard output
 /// or another descriptor. The number of lines per kind and second is limited, and omitted lines are counted. Never
-/// blocks: a line that cannot be written immediately is dropped and counted.
+/// blocks: lines for which a reader that does not keep up leaves no room are dropped and counted; see LogOutput.
 class DecisionLog
 {
 public:
@@ -27,6 +28,15 @@
     /// Logs the number of lines omitted or dropped since the last call, if any.
     void logOmittedCounts();
 
+    /// Waits until all lines are written, at most for the time. Call before the process exits.
+    bool flush(Duration timeout);
+
+    /// Lines dropped because the reader does not keep up.
+    [[nodiscard]] std::uint64_t droppedLines() const
+    {
+        return m_output.droppedLines();
+    }
+
 private:
     struct KindState {
         std::int64_t second = -1;
@@ -34,14 +44,11 @@
         std::uint64_t omittedLines = 0;
     };
 
-    void write(const std::string &line);
-
     const IClock &m_clock;
     std::string m_node;
-    int m_descriptor;
+    LogOutput m_output;
     std::map<std::string, KindState, std::less<>> m_kinds;
-    std::size_t m_writableBytes = 0; ///< Bytes that can be written without blocking, as far as known.
-    std::uint64_t m_droppedLines = 0;
+    std::uint64_t m_reportedDroppedLines = 0;
 };
 
 } // namespace vanillatack
--- a/src/proxy/internal/decisionlog.cpp
+++ b/src/proxy/internal/decisionlog.cpp
@@ -5,10 +5,6 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
-#include <fcntl.h>
-#include <limits.h>
-#include <poll.h>
-#include <unistd.h>
 
 namespace vanillatack {
 
@@ -24,18 +20,12 @@
            });
 }
 
-bool isWritable(int descriptor)
-{
-    pollfd state{.fd = descriptor, .events = POLLOUT, .revents = 0};
-    return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
-}
-
 } // namespace
 
 DecisionLog::DecisionLog(const IClock &clock, std::string node, int descriptor)
     : m_clock(clock)
     , m_node(std::move(node))
-    , m_descriptor(descriptor)
+    , m_output(descriptor)
 {
 }
 
@@ -63,24 +53,12 @@
         line += needsQuotes(value) ? absl::StrCat("\"", absl::CEscape(value), "\"") : value;
     }
     line += '\n';
-    write(line);
+    (void)m_output.write(line); // A dropped line is counted.
 }
 
-void DecisionLog::write(const std::string &line)
+bool DecisionLog::flush(Duration timeout)
 {
-    // A writable pipe takes PIPE_BUF bytes without blocking. Of other writers, only standard error may share it, which
-    // blocks by itself when the pipe is full.
-    if (m_writableBytes < line.size()) {
-        m_writableBytes = isWritable(m_descriptor) ? PIPE_BUF : 0;
-    }
-    if (m_writableBytes < line.size()) {
-        ++m_droppedLines;
-        return;
-    }
-    m_writableBytes -= line.size();
-    if (::write(m_descriptor, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
-        ++m_droppedLines;
-    }
+    return m_output.flush(timeout);
 }
 
 void DecisionLog::logOmittedCounts()
@@ -91,8 +69,8 @@
             record("log.left-out", {{"kind", decision}, {"count", std::to_string(count)}});
         }
     }
-    if (m_droppedLines > 0) {
-        const std::uint64_t count = std::exchange(m_droppedLines, 0);
+    if (const std::uint64_t dropped = droppedLines(); dropped > m_reportedDroppedLines) {
+        const std::uint64_t count = dropped - std::exchange(m_reportedDroppedLines, dropped);
         record("log.not-taken", {{"count", std::to_string(count)}});
     }
 }
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -1,6 +1,7 @@
 #include "proxy/internal/fleetcontrol.h"
 
 #include "base/durations.h"
+#include "base/log.h"
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_format.h>
@@ -269,6 +270,8 @@
     metrics.setGauge("running_requests", report.running);
     metrics.setGauge("queued_requests", report.queued);
     metrics.setGauge("draining", m_leaving ? 1 : 0);
+    metrics.setGauge("dropped_log_lines",
+                     static_cast<double>(m_dependencies.decisions.droppedLines() + droppedLogLines()));
     metrics.setGauge("ready", registryLoaded() && !m_leaving ? 1 : 0);
     const auto age = m_egress.freshness().age(m_dependencies.clock.elapsed());
     // -1: not confirmed yet.
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration ShutdownCheckInterval = std::chrono::milliseconds(50);
+/// Time for which the end of the process waits for the reader of the decision log.
+constexpr Duration LogFlushTimeout = std::chrono::milliseconds(50);
 /// How often pending asks for tokens are checked for missing answers.
 constexpr Duration AskCheckInterval = std::chrono::milliseconds(25);
 
@@ -372,6 +374,7 @@
                             {"calls", std::to_string(m_ingress.inFlight())},
                             {"unsent_responses", unsentResponses ? "yes" : "no"},
                             {"unsent_frames", unsentFrames ? "yes" : "no"}});
+        (void)m_decisions.flush(LogFlushTimeout);
         m_shutdownCompletion();
         return;
     }
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -868,8 +868,10 @@
         close(pipeEnds[1]);
     }
 
-    std::string readAll()
+    /// The lines that the log has written.
+    std::string readAll(DecisionLog & log)
     {
+        CHECK(log.flush(HangLimit));
         std::string text;
         char chunk[4096];
         for (ssize_t bytes = 0; (bytes = read(pipeEnds[0], chunk, sizeof chunk)) > 0;) {
@@ -883,7 +885,8 @@
 {
     DecisionLog log(clock, "n1", pipeEnds[1]);
     log.record("egress.rejected", {{"id", "a1"}, {"reason", "two words"}, {"workspace", ""}});
-    STRCMP_CONTAINS(" node=n1 decision=egress.rejected id=a1 reason=\"two words\" workspace=\"\"\n", readAll().c_str());
+    STRCMP_CONTAINS(" node=n1 decision=egress.rejected id=a1 reason=\"two words\" workspace=\"\"\n",
+                    readAll(log).c_str());
 }
 
 TEST(DecisionLog, limitsTheLinesOfOneKindAndCountsTheRest)
@@ -894,14 +897,14 @@
     }
     log.record("egress.gave-up", {{"id", "b1"}});
     log.logOmittedCounts();
-    const std::string text = readAll();
+    const std::string text = readAll(log);
     STRCMP_CONTAINS("id=a19\n", text.c_str());
     CHECK(text.find("id=a20\n") == std::string::npos);
     STRCMP_CONTAINS("id=b1\n", text.c_str());
     STRCMP_CONTAINS("decision=log.left-out kind=ingress.refused count=980\n", text.c_str());
     clock.advance(1s);
     log.record("ingress.refused", {{"id", "c1"}});
-    STRCMP_CONTAINS("id=c1\n", readAll().c_str());
+    STRCMP_CONTAINS("id=c1\n", readAll(log).c_str());
 }
 
 TEST(DecisionLog, dropsLinesInsteadOfBlockingOnAStalledReader)
@@ -910,7 +913,14 @@
     for (int i = 0; i < 4000; ++i) {
         log.record("kind" + std::to_string(i), {{"id", std::string(200, 'x')}});
     }
-    readAll();
+    CHECK(!log.flush(0ms));
+    CHECK(log.droppedLines() > 0);
+    // The reader goes on.
+    while (!log.flush(1ms)) {
+        char chunk[4096];
+        (void)!read(pipeEnds[0], chunk, sizeof chunk);
+    }
     log.logOmittedCounts();
-    STRCMP_CONTAINS("decision=log.not-taken count=", readAll().c_str());
+    STRCMP_CONTAINS(("decision=log.not-taken count=" + std::to_string(log.droppedLines())).c_str(),
+                    readAll(log).c_str());
 }
