Keep departures in other zones where a zone has one node

A node that is alone in its zone got no reports of other nodes directly, only bundles of their relays, so that a start without the store could ask nobody: its instance was not used until the store was back. Nodes that send bundles are asked too, and the relays of other zones are the first keepers where the own zone has too few. Asked nodes are known by their addresses; replies of others are ignored.

--- a/src/fleet/departureledger.h
+++ b/src/fleet/departureledger.h
@@ -72,7 +72,7 @@
     void onRegistryRead(TimePoint now);
 
     /// A node has sent a report to this node. Until the registry can be read, such nodes are asked.
-    void onReportFrom(const DepartureKeeper &node, TimePoint now);
+    void onReportFrom(const Endpoint &node, TimePoint now);
 
     [[nodiscard]] bool recovered() const
     {
@@ -80,7 +80,7 @@
     }
 
     /// Handles Kept and Told.
-    void onReply(const DepartureNote &note, TimePoint now);
+    void onReply(const DepartureNote &note, const Endpoint &sender, TimePoint now);
 
     /// Repeats notes that were not answered and ends what has waited too long. Call every few tens of milliseconds
     /// while hasPendingWork().
@@ -120,8 +120,8 @@
     bool m_registryRead = false;
     TimePoint m_recoveringSince; ///< Start of the recovery, or the time at which the registry was read.
     TimePoint m_askedAt;
-    std::map<NodeName, Endpoint> m_asked;
-    std::set<NodeName> m_told;
+    std::set<Endpoint> m_asked;
+    std::set<Endpoint> m_told; ///< Of the asked nodes.
 };
 
 /// Departures that a node remembers for other nodes. Bounded; forgets the nodes whose notes are the oldest.
--- a/src/fleet/internal/departureledger.cpp
+++ b/src/fleet/internal/departureledger.cpp
@@ -120,22 +120,21 @@
     m_recoveringSince = now;
     m_asked.clear();
     for (const DepartureKeeper &keeper : m_host.formerKeepers()) {
-        m_asked[keeper.node] = keeper.endpoint;
+        m_asked.insert(keeper.endpoint);
     }
     sendAsks(now);
     finishRecoveryIfDone(now);
 }
 
-void DepartureLedger::onReportFrom(const DepartureKeeper &node, TimePoint now)
+void DepartureLedger::onReportFrom(const Endpoint &node, TimePoint now)
 {
-    if (!m_recovering || m_registryRead || m_asked.size() >= MaxAsked || m_asked.contains(node.node)) {
+    if (!m_recovering || m_registryRead || m_asked.size() >= MaxAsked || !m_asked.insert(node).second) {
         return;
     }
-    m_asked[node.node] = node.endpoint;
     sendAsks(now);
 }
 
-void DepartureLedger::onReply(const DepartureNote &note, TimePoint now)
+void DepartureLedger::onReply(const DepartureNote &note, const Endpoint &sender, TimePoint now)
 {
     if (note.node != m_self) {
         return;
@@ -145,7 +144,7 @@
         std::uint64_t &confirmed = m_keptNotes[note.sender];
         confirmed = std::max(confirmed, note.noteId);
         settle(now);
-    } else if (note.kind == DepartureNoteKind::Told && m_asked.contains(note.sender)) {
+    } else if (note.kind == DepartureNoteKind::Told && m_asked.contains(sender)) {
         std::vector<Departure> restored;
         for (const Departure &departure : note.departures) {
             const bool known = std::any_of(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
@@ -156,7 +155,7 @@
                 restored.push_back(departure);
             }
         }
-        m_told.insert(note.sender);
+        m_told.insert(sender);
         if (!restored.empty()) {
             m_host.onDeparturesRestored(restored);
         }
@@ -205,8 +204,8 @@
 void DepartureLedger::sendAsks(TimePoint now)
 {
     m_askedAt = now;
-    for (const auto &[node, endpoint] : m_asked) {
-        if (!m_told.contains(node)) {
+    for (const Endpoint &endpoint : m_asked) {
+        if (!m_told.contains(endpoint)) {
             m_host.sendNote(endpoint,
                             {.kind = DepartureNoteKind::Ask,
                              .node = m_self,
@@ -269,9 +268,7 @@
     if (!m_recovering) {
         return;
     }
-    const bool allTold = std::all_of(m_asked.begin(), m_asked.end(), [this](const auto &asked) {
-        return m_told.contains(asked.first);
-    });
+    const bool allTold = std::includes(m_told.begin(), m_told.end(), m_asked.begin(), m_asked.end());
     const Duration waited = now - m_recoveringSince;
     std::string reason;
     if (m_registryRead && (allTold || waited >= AskTimeout)) {
--- a/src/fleet/tests/departureledger_tests.cpp
+++ b/src/fleet/tests/departureledger_tests.cpp
@@ -72,7 +72,22 @@
 
     void confirm(const std::string &keeper, TimePoint now)
     {
-        ledger.onReply(reply(keeper, DepartureNoteKind::Kept), now);
+        ledger.onReply(reply(keeper, DepartureNoteKind::Kept), endpointOf(keeper), now);
+    }
+
+    void tell(const std::string &keeper, TimePoint now, std::vector<Departure> departures = {})
+    {
+        ledger.onReply(reply(keeper, DepartureNoteKind::Told, std::move(departures)), endpointOf(keeper), now);
+    }
+
+    Endpoint endpointOf(const std::string &keeper) const
+    {
+        for (const DepartureKeeper &node : host.nodes) {
+            if (node.node.value == keeper) {
+                return node.endpoint;
+            }
+        }
+        return {};
     }
 };
 
@@ -132,10 +147,10 @@
     ledger.add({.instance = "i-0", .startedAtMs = 4}, Start);
     const DepartureNote earlier = reply("n2", DepartureNoteKind::Kept);
     addAndAwait();
-    ledger.onReply(earlier, Start);
+    ledger.onReply(earlier, endpointOf("n2"), Start);
     DepartureNote ofAnotherProcess = reply("n3", DepartureNoteKind::Kept);
     ofAnotherProcess.noteId += 1000;
-    ledger.onReply(ofAnotherProcess, Start);
+    ledger.onReply(ofAnotherProcess, endpointOf("n3"), Start);
     ledger.check(Start + 500ms);
     CHECK(!kept.has_value());
 }
@@ -176,10 +191,10 @@
     ledger.onStored({Left}, Start);
     ledger.onRegistryRead(Start);
     const Departure missed{.instance = "i-2", .startedAtMs = 7};
-    ledger.onReply(reply("n2", DepartureNoteKind::Told, {Left, missed}), Start);
-    ledger.onReply(reply("n3", DepartureNoteKind::Told), Start);
+    tell("n2", Start, {Left, missed});
+    tell("n3", Start);
     CHECK(!ledger.recovered());
-    ledger.onReply(reply("n4", DepartureNoteKind::Told), Start);
+    tell("n4", Start);
     CHECK(ledger.recovered());
     CHECK(host.recovered);
     CHECK((host.restored == std::vector<Departure>{Left, missed}));
@@ -201,8 +216,8 @@
     ledger.startRecovery(Start);
     ledger.check(Start + 10s);
     CHECK(!ledger.recovered());
-    ledger.onReportFrom(host.nodes[0], Start + 10s);
-    ledger.onReply(reply("n2", DepartureNoteKind::Told, {Left}), Start + 10s);
+    ledger.onReportFrom(host.nodes[0].endpoint, Start + 10s);
+    tell("n2", Start + 10s, {Left});
     CHECK(ledger.recovered());
     CHECK(host.restored == std::vector<Departure>{Left});
 }
@@ -210,17 +225,27 @@
 TEST(DepartureLedger, waitsForMoreNodesThanTheFirstWhenTheStoreIsAway)
 {
     ledger.startRecovery(Start);
-    ledger.onReportFrom(host.nodes[0], Start);
-    ledger.onReply(reply("n2", DepartureNoteKind::Told), Start);
+    ledger.onReportFrom(host.nodes[0].endpoint, Start);
+    tell("n2", Start);
     ledger.check(Start + 900ms);
     CHECK(!ledger.recovered());
-    ledger.onReportFrom(host.nodes[1], Start + 900ms);
-    ledger.onReply(reply("n3", DepartureNoteKind::Told, {Left}), Start + 901ms);
+    ledger.onReportFrom(host.nodes[1].endpoint, Start + 900ms);
+    tell("n3", Start + 901ms, {Left});
     ledger.check(Start + 1s);
     CHECK(ledger.recovered());
     CHECK(host.restored == std::vector<Departure>{Left});
 }
 
+TEST(DepartureLedger, nodesThatWereNotAskedTellNothing)
+{
+    ledger.startRecovery(Start);
+    ledger.onReportFrom(host.nodes[0].endpoint, Start);
+    tell("n3", Start, {Left});
+    ledger.check(Start + 5s);
+    CHECK(!ledger.recovered());
+    CHECK(host.restored.empty());
+}
+
 TEST_GROUP(DepartureArchive)
 {
     DepartureArchive archive;
--- a/src/proxy/internal/departurecontrol.cpp
+++ b/src/proxy/internal/departurecontrol.cpp
@@ -3,6 +3,7 @@
 #include "base/durations.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace vanillatack {
 
@@ -72,11 +73,9 @@
     m_ledger.onRegistryRead(m_dependencies.clock.now());
 }
 
-void DepartureControl::onReport(const NodeName &node, const Endpoint &sender)
+void DepartureControl::onReportFrom(const Endpoint &sender)
 {
-    if (!m_ledger.recovered() && node != m_dependencies.settings.node) {
-        m_ledger.onReportFrom({node, sender}, m_dependencies.clock.now());
-    }
+    m_ledger.onReportFrom(sender, m_dependencies.clock.now());
 }
 
 void DepartureControl::onNote(const DepartureNote &note, const Endpoint &sender, std::uint64_t configVersion)
@@ -102,14 +101,14 @@
     case DepartureNoteKind::Kept:
     case DepartureNoteKind::Told:
         m_toldConfigVersion = std::max(m_toldConfigVersion, note.configVersion); // 0 in Kept.
-        m_ledger.onReply(note, m_dependencies.clock.now());
+        m_ledger.onReply(note, sender, m_dependencies.clock.now());
         return;
     }
 }
 
 std::vector<DepartureKeeper> DepartureControl::keepers() const
 {
-    std::vector<DepartureKeeper> nodes = nodesAfterSelf(MaxKeepers + m_dependencies.directory.nodes().size());
+    std::vector<DepartureKeeper> nodes = nodesAfterSelf(std::numeric_limits<std::size_t>::max());
     const std::set<NodeName> unresponsive = m_detector.unresponsive(m_dependencies.clock.now());
     std::erase_if(nodes, [&unresponsive](const DepartureKeeper &keeper) {
         return unresponsive.contains(keeper.node);
@@ -124,7 +123,8 @@
 }
 
 /// The nodes of the zone that follow this one by name, then those before it: in this order, each node keeps the
-/// departures of equally many others. If the zone has too few, nodes of other zones follow in the same way.
+/// departures of equally many others. If the zone has too few, the relays of other zones follow, which send their
+/// reports to this zone, and then the other nodes there.
 std::vector<DepartureKeeper> DepartureControl::nodesAfterSelf(std::size_t limit) const
 {
     const NodeName &self = m_dependencies.settings.node;
@@ -141,11 +141,15 @@
     };
     append(m_detector.nodesOf(m_dependencies.settings.zone));
     if (result.size() < MinOwnZoneKeepers) {
+        std::vector<NodeName> relays;
         std::vector<NodeName> others;
         for (const ZoneName &zone : m_detector.otherZones()) {
-            const std::vector<NodeName> nodes = m_detector.nodesOf(zone);
-            others.insert(others.end(), nodes.begin(), nodes.end());
+            const auto relay = m_detector.relay(zone, m_dependencies.clock.now());
+            for (NodeName &node : m_detector.nodesOf(zone)) {
+                (node == relay ? relays : others).push_back(std::move(node));
+            }
         }
+        append(std::move(relays));
         append(std::move(others));
     }
     return result;
--- a/src/proxy/internal/departurecontrol.h
+++ b/src/proxy/internal/departurecontrol.h
@@ -48,7 +48,8 @@
     /// The row of another node is about to be forgotten.
     void onNodeRemoved(const NodeEntry &entry);
     void onRegistryRead();
-    void onReport(const NodeName &node, const Endpoint &sender);
+    /// A node has sent a report or a bundle of reports to this one.
+    void onReportFrom(const Endpoint &sender);
     /// configVersion is that of the configuration in force at this node.
     void onNote(const DepartureNote &note, const Endpoint &sender, std::uint64_t configVersion);
 
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -151,7 +151,7 @@
 void FleetControl::onReport(const NodeReport &report, const Endpoint &sender)
 {
     recordReport(report);
-    m_departures.onReport(report.node, sender);
+    m_departures.onReportFrom(sender);
 }
 
 void FleetControl::onDepartureNote(const DepartureNote &note, const Endpoint &sender)
@@ -182,8 +182,9 @@
     }
 }
 
-void FleetControl::onBundle(const ReportBundle &bundle)
+void FleetControl::onBundle(const ReportBundle &bundle, const Endpoint &sender)
 {
+    m_departures.onReportFrom(sender);
     for (const NodeReport &report : bundle.reports) {
         recordReport(report);
     }
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -21,7 +21,7 @@
 
     /// Handles a report that its node has sent to this one.
     void onReport(const NodeReport &report, const Endpoint &sender);
-    void onBundle(const ReportBundle &bundle);
+    void onBundle(const ReportBundle &bundle, const Endpoint &sender);
     void onDepartureNote(const DepartureNote &note, const Endpoint &sender);
 
     /// Records that an instance of this node has left; see DepartureControl::add().
--- a/src/proxy/internal/trafficnode.cpp
+++ b/src/proxy/internal/trafficnode.cpp
@@ -294,7 +294,7 @@
     if (const auto *report = std::get_if<NodeReport>(&message)) {
         m_control.onReport(*report, sender);
     } else if (const auto *bundle = std::get_if<ReportBundle>(&message)) {
-        m_control.onBundle(*bundle);
+        m_control.onBundle(*bundle, sender);
     } else if (const auto *ask = std::get_if<RateAsk>(&message)) {
         m_rateLimiter.onAsk(*ask, now);
     } else if (const auto *grant = std::get_if<RateGrant>(&message)) {
--- a/src/proxy/tests/proxy_tests.cpp
+++ b/src/proxy/tests/proxy_tests.cpp
@@ -208,6 +208,7 @@
     std::unique_ptr<NodeProcess> nearProcess;
     std::unique_ptr<NodeProcess> farProcess;
     std::unique_ptr<IHttpClient> client = makeHttpClient(loop, {});
+    ZoneName farZone{"z"};
     std::int64_t sequence = 0;
     int attempts = 0;
     std::optional<ReportOutcome> outcome;
@@ -230,7 +231,7 @@
     {
         ProxySettings result;
         result.node = NodeName(name);
-        result.zone = ZoneName("z");
+        result.zone = name == "far" ? farZone : ZoneName("z");
         result.service = ServiceName(service);
         result.callerEndpoint = {"127.0.0.1", freePort(loop)};
         result.peerEndpoint = {"127.0.0.1", freePort(loop)};
@@ -357,6 +358,14 @@
     }
 };
 
+/// The nodes are in different zones, which have no other nodes.
+TEST_GROUP_BASE(TrafficNodeRestartInTwoZones,
+                TEST_GROUP_CppUTestGroupTrafficNodeRestart){void setup() override{farZone = ZoneName("y");
+TEST_GROUP_CppUTestGroupTrafficNodeRestart::setup();
+}
+}
+;
+
 TEST(TrafficNode, refusesRequestsAsNotReadyWithoutConfiguration)
 {
     LONGS_EQUAL(503, send("GET", "/read/1", {{"Key", "k1"}}).response.status);
@@ -573,6 +582,24 @@
     announceUntilServed(6);
 }
 
+// The same when the only other nodes are in another zone.
+TEST(TrafficNodeRestartInTwoZones, aWithdrawalThatOnlyAnotherZoneKeepsBindsTheNodeAfterARestart)
+{
+    const InstanceAnnouncement late = announcement();
+    table->away = true;
+    CHECK(withdraw() == ReportOutcome::Acknowledged);
+    restartFarNode();
+    LONGS_EQUAL(0, runsAfterLateAnnouncements(late, nearSettings));
+    announceUntilServed(6);
+}
+
+TEST(TrafficNodeRestartInTwoZones, anInstanceThatHasNotLeftIsUsedAgainWithoutTheStore)
+{
+    table->away = true;
+    restartFarNode();
+    announceUntilServed(5);
+}
+
 // The same when the store is back at the restart, but has missed the withdrawal.
 TEST(TrafficNodeRestart, aWithdrawalThatTheStoreHasMissedBindsTheNodeAfterARestart)
 {
