Do not wait for nodes that have forgotten, and write logs to the descriptor itself

Change: a node that asks itself counts as an answer; nodes that are leaving are neither asked nor keepers; notes are repeated every 50 ms, for 0.2 s; the recovery starts when the registry is read, not at the next tick. LogOutput uses the descriptor that it is given.

--- a/src/base/logoutput.cpp
+++ b/src/base/logoutput.cpp
@@ -9,7 +9,6 @@
 #include <thread>
 #include <utility>
 
-#include <fcntl.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -99,14 +98,13 @@
         bytesInWrite = 0;
         written.notify_all();
     }
-    ::close(descriptor);
 }
 
 LogOutput::LogOutput(int descriptor, std::size_t maxBytes)
     : m_maxBytes(maxBytes)
     , m_state(std::make_shared<State>())
 {
-    m_state->descriptor = ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+    m_state->descriptor = descriptor;
 }
 
 LogOutput::~LogOutput()
@@ -115,9 +113,6 @@
     const std::lock_guard lock(m_state->mutex);
     m_state->stopping = true;
     m_state->added.notify_all();
-    if (!m_state->started) {
-        ::close(m_state->descriptor);
-    }
 }
 
 bool LogOutput::write(std::string_view line)
--- a/src/base/logoutput.h
+++ b/src/base/logoutput.h
@@ -17,7 +17,8 @@
 public:
     static constexpr std::size_t DefaultMaxBytes = std::size_t{256} << 10;
 
-    /// Uses a duplicate of the descriptor. The thread starts with the first line. maxBytes limits the bytes that wait.
+    /// The thread starts with the first line. maxBytes limits the bytes that wait. The descriptor must stay open until
+    /// all lines are written, also after the destructor if the reader stands still.
     explicit LogOutput(int descriptor, std::size_t maxBytes = DefaultMaxBytes);
 
     /// Waits briefly for the lines that are left.
--- a/src/base/tests/logoutput_tests.cpp
+++ b/src/base/tests/logoutput_tests.cpp
@@ -88,16 +88,21 @@
 TEST(LogOutput, endsAlthoughTheReaderStandsStill)
 {
     const auto start = std::chrono::steady_clock::now();
+    std::size_t taken = 0;
     {
         LogOutput output(pipeEnds[1]);
+        const std::string line = std::string(100, 'x') + "\n";
         for (int index = 0; index < 3000; ++index) {
-            output.write(std::string(100, 'x') + "\n");
+            taken += output.write(line) ? line.size() : 0;
         }
     }
     CHECK(std::chrono::steady_clock::now() - start < HangLimit);
-    while (!readSome().empty()) { // Lets its thread go on.
-        std::this_thread::sleep_for(1ms);
+    // Its thread goes on.
+    std::size_t received = 0;
+    while (received < taken && std::chrono::steady_clock::now() - start < HangLimit) {
+        received += readSome().size();
     }
+    LONGS_EQUAL(taken, received);
 }
 
 TEST(LogOutput, aReaderThatIsGoneCostsLinesOnly)
--- a/src/fleet/departureledger.h
+++ b/src/fleet/departureledger.h
@@ -79,6 +79,9 @@
         return !m_recovering;
     }
 
+    /// Another node asks: it has been restarted as well, and remembers nothing of before.
+    void onAskFrom(const Endpoint &node, TimePoint now);
+
     /// Handles Kept and Told.
     void onReply(const DepartureNote &note, const Endpoint &sender, TimePoint now);
 
--- a/src/fleet/internal/departureledger.cpp
+++ b/src/fleet/internal/departureledger.cpp
@@ -15,9 +15,10 @@
 /// Time after which a departure that is not kept is not acknowledged; the instance gives up after a second.
 constexpr Duration AcknowledgementTimeout = std::chrono::milliseconds(900);
 /// Interval at which notes are repeated until they are answered.
-constexpr Duration NoteRetryInterval = std::chrono::milliseconds(100);
-/// Time for which a process that has read its row waits for nodes that do not answer.
-constexpr Duration AskTimeout = std::chrono::milliseconds(400);
+constexpr Duration NoteRetryInterval = std::chrono::milliseconds(50);
+/// Time for which a process that has read its row waits for nodes that do not answer: some tries, since its instance is
+/// not used meanwhile. Nodes that were restarted too have forgotten what they knew.
+constexpr Duration AskTimeout = std::chrono::milliseconds(200);
 /// Time in which other nodes are found by their reports when the store is away at the start of the process.
 constexpr Duration AskTimeoutWithoutStore = std::chrono::seconds(1);
 /// Limits of the nodes asked and of the nodes whose departures are remembered. Each has at most MaxDepartures.
@@ -134,6 +135,14 @@
     sendAsks(now);
 }
 
+void DepartureLedger::onAskFrom(const Endpoint &node, TimePoint now)
+{
+    if (m_asked.contains(node)) {
+        m_told.insert(node);
+        finishRecoveryIfDone(now);
+    }
+}
+
 void DepartureLedger::onReply(const DepartureNote &note, const Endpoint &sender, TimePoint now)
 {
     if (note.node != m_self) {
--- a/src/fleet/internal/noderegistry.cpp
+++ b/src/fleet/internal/noderegistry.cpp
@@ -165,6 +165,7 @@
         rewriteLater();
     }
     writeOwn();
+    m_listener.onRegistryConfirmed();
 }
 
 /// Delays the next write of the own row by a random time, unless one is in progress or scheduled.
--- a/src/fleet/noderegistry.h
+++ b/src/fleet/noderegistry.h
@@ -18,6 +18,9 @@
 
     /// The own row is in the store with these contents, written by this process or by an earlier one.
     virtual void onOwnNode(const NodeEntry &entry) = 0;
+
+    /// The registry was read, or confirmed as unchanged.
+    virtual void onRegistryConfirmed() = 0;
 };
 
 /// The table of all nodes in the platform's store. Each node maintains its own row there and watches the rows of the
--- a/src/fleet/tests/departureledger_tests.cpp
+++ b/src/fleet/tests/departureledger_tests.cpp
@@ -160,7 +160,9 @@
     addAndAwait();
     confirm("n2", Start);
     host.sent.clear();
-    ledger.check(Start + 100ms);
+    ledger.check(Start + 49ms);
+    LONGS_EQUAL(0, host.sent.size());
+    ledger.check(Start + 50ms);
     LONGS_EQUAL(2, host.sent.size());
 }
 
@@ -205,9 +207,20 @@
 {
     ledger.startRecovery(Start);
     ledger.onRegistryRead(Start + 1s);
-    ledger.check(Start + 1399ms);
+    ledger.check(Start + 1199ms);
     CHECK(!ledger.recovered());
-    ledger.check(Start + 1400ms);
+    ledger.check(Start + 1200ms);
+    CHECK(ledger.recovered());
+}
+
+TEST(DepartureLedger, doesNotWaitForNodesThatHaveBeenRestartedToo)
+{
+    ledger.startRecovery(Start);
+    ledger.onRegistryRead(Start);
+    for (const DepartureKeeper &node : host.nodes) {
+        CHECK(!ledger.recovered());
+        ledger.onAskFrom(node.endpoint, Start + 1ms);
+    }
     CHECK(ledger.recovered());
 }
 
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -64,9 +64,14 @@
     {
         own = item;
     }
+    void onRegistryConfirmed() override
+    {
+        ++confirmed;
+    }
 
     std::map<NodeName, NodeEntry> nodes;
     std::optional<NodeEntry> own;
+    int confirmed = 0;
 };
 
 } // namespace
@@ -370,8 +375,10 @@
     store.put("n1", formatNodeEntry(earlier));
     registry.publish(entry("n1", "a"));
     registry.start();
+    LONGS_EQUAL(0, listener.confirmed);
     store.answer(); // The read.
     CHECK(listener.own == earlier);
+    LONGS_EQUAL(1, listener.confirmed);
     settle();
     CHECK(listener.own == entry("n1", "a"));
 }
--- a/src/proxy/internal/departurecontrol.cpp
+++ b/src/proxy/internal/departurecontrol.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Duration CheckInterval = std::chrono::milliseconds(50);
+constexpr Duration CheckInterval = std::chrono::milliseconds(25);
 /// Nodes that remember the departures of this one. Some may be restarted at the same time.
 constexpr std::size_t MaxKeepers = 5;
 /// Nodes that are asked after a start; more, since other nodes may have been unresponsive when the keepers were chosen.
@@ -97,6 +97,7 @@
         reply.departures = m_archive.find(note.node);
         reply.configVersion = configVersion;
         m_link->send({sender}, reply);
+        m_ledger.onAskFrom(sender, m_dependencies.clock.now());
         return;
     case DepartureNoteKind::Kept:
     case DepartureNoteKind::Told:
@@ -134,7 +135,8 @@
         std::rotate(names.begin(), std::upper_bound(names.begin(), names.end(), self), names.end());
         for (const NodeName &name : names) {
             const NodeEntry *entry = m_dependencies.directory.find(name);
-            if (entry != nullptr && result.size() < limit) {
+            const bool ends = entry == nullptr || entry->leaving; // It soon remembers nothing.
+            if (!ends && result.size() < limit) {
                 result.push_back({name, entry->peerEndpoint});
             }
         }
--- a/src/proxy/internal/fleetcontrol.cpp
+++ b/src/proxy/internal/fleetcontrol.cpp
@@ -148,6 +148,11 @@
     m_departures.onOwnNode(entry);
 }
 
+void FleetControl::onRegistryConfirmed()
+{
+    m_departures.onRegistryRead();
+}
+
 void FleetControl::onReport(const NodeReport &report, const Endpoint &sender)
 {
     recordReport(report);
@@ -201,9 +206,6 @@
             tick();
         });
     };
-    if (m_registry.loaded()) {
-        m_departures.onRegistryRead();
-    }
     publishLocalState();
     m_detector.setReportInterval(reportInterval());
     const NodeReport report = makeReport();
--- a/src/proxy/internal/fleetcontrol.h
+++ b/src/proxy/internal/fleetcontrol.h
@@ -50,6 +50,7 @@
     void onNode(const NodeEntry &entry) override;
     void onNodeRemoved(const NodeName &node) override;
     void onOwnNode(const NodeEntry &entry) override;
+    void onRegistryConfirmed() override;
 
     void onDeparturesChanged() override;
     void onRecovered(std::uint64_t configVersion) override;
