Soak: begin with a leaving that must be acknowledged, and leave more often

Change: the first trouble is a leaving while all nodes and the store are there, so that the check depends on no draw; leavings are drawn twice as often, and the report says how many there were.

--- a/src/proxy/tests/soak_tests.cpp
+++ b/src/proxy/tests/soak_tests.cpp
@@ -133,6 +133,7 @@
     std::vector<SoakCaller> callers;
     std::uint64_t configVersion = 1;
     TimePoint storeBackAt;
+    int leavings = 0;
     int acknowledgedLeavings = 0;
     int lastAttempt = 0;
     int answered = 0;
@@ -234,6 +235,7 @@
             return;
         }
         instance.withdrawn = true;
+        ++leavings;
         instance.soundAgainAt = clock.now() + std::chrono::milliseconds(500 + random->below(3000));
         for (int index = 0; index < 3; ++index) {
             instance.lateAnnouncements.emplace_back(
@@ -276,7 +278,7 @@
         if (!node.process || node.stopping) {
             return;
         }
-        switch (random->below(7)) {
+        switch (random->below(8)) {
         case 0:
             node.stopping = true;
             node.process->node->shutDown([&node] {
@@ -288,19 +290,20 @@
             node.instance->soundAgainAt = clock.now() + std::chrono::milliseconds(500 + random->below(4500));
             break;
         case 2:
+        case 3:
             leave(node);
             break;
-        case 3:
+        case 4:
             kill(node);
             break;
-        case 4:
+        case 5:
             // Back from a copy that lacks up to the last few writes.
             table->restore(
                 makeStoreVersion(storeEraOf(table->version),
                                  storeNumberOf(table->version)
                                      - random->below(std::min<std::uint64_t>(storeNumberOf(table->version), 6) + 1)));
             break;
-        case 5:
+        case 6:
             table->away = !table->away;
             storeBackAt = clock.now() + std::chrono::milliseconds(random->below(3000));
             break;
@@ -483,7 +486,8 @@
             }
             table->away = table->away && clock.now() < storeBackAt;
             if (clock.now() >= nextCauseAt && clock.now() < end) {
-                cause();
+                // The first trouble is a leaving that must be acknowledged, also in a short run.
+                leavings == 0 ? leave(nodes.back()) : cause();
                 nextCauseAt = clock.now() + std::chrono::milliseconds(50 + random->below(500));
             }
             std::this_thread::sleep_for(1ms);
@@ -504,8 +508,8 @@
             + std::to_string(lastAttempt) + ", lost " + std::to_string(lost) + ", without an answer in time "
             + (isIdle() ? "none" : "some") + ", mixed up " + std::to_string(mixedUp) + ", run twice "
             + std::to_string(runTwice) + ", run although refused " + std::to_string(ranAlthoughRefused)
-            + ", acknowledged leavings " + std::to_string(acknowledgedLeavings) + ", run after one "
-            + std::to_string(runsAfterLeaving);
+            + ", acknowledged leavings " + std::to_string(acknowledgedLeavings) + " of " + std::to_string(leavings)
+            + ", run after one " + std::to_string(runsAfterLeaving);
         if (std::getenv("VT_REPORT") != nullptr) {
             std::printf("\n%s", result.c_str());
         }
