Ignore replies to an earlier process when departures are recovered

Found by reading: a process that starts took a late reply to the process before for one to its own question, so that a departure that was kept in between could be missed.

--- a/src/fleet/departureledger.h
+++ b/src/fleet/departureledger.h
@@ -115,6 +115,7 @@
     IDepartureLedgerHost &m_host;
     std::vector<Entry> m_entries; ///< Oldest first; at most MaxDepartures.
     std::vector<Wait> m_waits;
+    std::uint64_t m_firstNoteId;
     std::uint64_t m_noteId;
     std::map<NodeName, std::uint64_t> m_keptNotes; ///< The newest note that each keeper has confirmed.
     TimePoint m_keepSentAt;
--- a/src/fleet/internal/departureledger.cpp
+++ b/src/fleet/internal/departureledger.cpp
@@ -37,6 +37,7 @@
 DepartureLedger::DepartureLedger(NodeName self, std::uint64_t firstNoteId, IDepartureLedgerHost &host)
     : m_self(std::move(self))
     , m_host(host)
+    , m_firstNoteId(firstNoteId)
     , m_noteId(firstNoteId)
 {
 }
@@ -145,7 +146,8 @@
 
 void DepartureLedger::onReply(const DepartureNote &note, const Endpoint &sender, TimePoint now)
 {
-    if (note.node != m_self) {
+    // A late reply to an earlier process tells what was known then.
+    if (note.node != m_self || note.noteId < m_firstNoteId || note.noteId > m_noteId) {
         return;
     }
     const bool isKeeper = m_keptNotes.contains(note.sender) || m_keptNotes.size() < MaxAsked;
--- a/src/fleet/tests/departureledger_tests.cpp
+++ b/src/fleet/tests/departureledger_tests.cpp
@@ -249,6 +249,26 @@
     CHECK(host.restored == std::vector<Departure>{Left});
 }
 
+// Guards against a departure that is missed after a restart, since a reply to the process before came late.
+TEST(DepartureLedger, aReplyToAnEarlierProcessTellsNothing)
+{
+    ledger.startRecovery(Start);
+    ledger.onRegistryRead(Start);
+    for (const std::uint64_t otherId : {std::uint64_t{7}, std::uint64_t{1000}}) {
+        for (const DepartureKeeper &node : host.nodes) {
+            DepartureNote late = reply(node.node.value, DepartureNoteKind::Told);
+            late.noteId = otherId;
+            ledger.onReply(late, node.endpoint, Start);
+        }
+        CHECK(!ledger.recovered());
+    }
+    for (const char *node : {"n2", "n3", "n4"}) {
+        tell(node, Start, {Left});
+    }
+    CHECK(ledger.recovered());
+    CHECK(host.restored == std::vector<Departure>{Left});
+}
+
 TEST(DepartureLedger, nodesThatWereNotAskedTellNothing)
 {
     ledger.startRecovery(Start);
